--- /dev/null
+++ b/src/elmthread/agents/messages.py
@@ -0,0 +1,73 @@
+"""Workers' reports and the commands in their answers; wire words stay here."""
+
+from typing import Any
+
+import msgspec
+
+
+class Task(msgspec.Struct, rename={"name": "piece", "attempt": "try", "state": "status", "why": "cause"}):
+    name: str
+    attempt: int
+    state: str
+    why: str | None = None
+    saved: bool = False
+
+    def split(self) -> tuple[str, int] | None:
+        job_id, _, index = self.name.rpartition("/")
+        return (job_id, int(index)) if job_id and index.isdigit() and len(index) <= 7 else None
+
+
+class Report(
+    msgspec.Struct,
+    rename={
+        "machine": "loom",
+        "address": "endpoint",
+        "type": "build",
+        "zone": "yard",
+        "spot": "loaners",
+        "session": "shift",
+        "sequence": "tally",
+        "token": "baton",
+        "notice_s": "recall_s",
+        "tasks": "pieces",
+    },
+):
+    machine: str
+    address: str
+    type: str
+    zone: str
+    spot: bool
+    session: int
+    sequence: int
+    token: int
+    notice_s: float | None = None
+    tasks: list[Task] = []
+
+
+def read_report(body: Any) -> Report:
+    """Raises msgspec.ValidationError."""
+    return msgspec.convert(body, Report)
+
+
+def task_name(job_id: str, task: int) -> str:
+    return f"{job_id}/{task}"
+
+
+def start(job_id: str, task: int, attempt: int) -> dict[str, Any]:
+    return {"verb": "start", "piece": task_name(job_id, task), "try": attempt}
+
+
+def halt(job_id: str, task: int, attempt: int, grace_s: float) -> dict[str, Any]:
+    return {"verb": "halt", "piece": task_name(job_id, task), "try": attempt, "wind_down_s": grace_s}
+
+
+def reap(name: str, attempt: int) -> dict[str, Any]:
+    return {"verb": "reap", "piece": name, "try": attempt}
+
+
+def orders(token: int, commands: list[dict[str, Any]]) -> dict[str, Any]:
+    return {"baton": token, "orders": commands}
+
+
+def elsewhere(leader: str | None) -> dict[str, Any]:
+    return {} if leader is None else {"foreman": leader}
--- /dev/null
+++ b/src/elmthread/agents/service.py
@@ -0,0 +1,266 @@
+"""Workers' reports: what is on each machine, and the commands that follow from it.
+
+Commands go out only in the answers to reports. A worker drops an answer that comes late,
+so a start is never executed after the worker's next report was made: if that report does
+not list the task, the task is not there. What should be there is said again in each answer
+until a report shows it. That is why no start is ever sent straight to a worker's address.
+"""
+
+import asyncio
+import logging
+from collections.abc import Callable
+from datetime import timedelta
+from typing import Any
+
+import msgspec
+
+from elmthread.agents import messages
+from elmthread.agents.health import Health
+from elmthread.agents.messages import Report, Task
+from elmthread.common.clock import Clock, seconds
+from elmthread.common.http import BadBody, Request, Response, again, decode
+from elmthread.ledger.records import machine_key, machine_record, to_store
+from elmthread.ledger.writer import Rank, Writer
+from elmthread.leadership.election import Election
+from elmthread.placement.book import SEEN, Book, Hold, HoldState, Job, Machine, MachineState, Stop
+from elmthread.sizing.work import WorkModel
+
+log = logging.getLogger(__name__)
+
+MOST_ORDERS = 300
+STATES = {"fetching": HoldState.FETCHING, "running": HoldState.RUNNING, "saving": HoldState.SAVING}
+
+
+class Agents:
+    def __init__(
+        self,
+        book: Book,
+        election: Election,
+        writer: Writer,
+        work: WorkModel,
+        clock: Clock,
+        describe: Callable[[Machine], None],
+        finished: Callable[[Job, int, Callable[[], None]], None],
+        changed: Callable[[], None],
+    ) -> None:
+        self._book = book
+        self._election = election
+        self._writer = writer
+        self._work = work
+        self._clock = clock
+        self._describe = describe
+        self._finished = finished
+        self._changed = changed
+        self.health = Health()
+        self.dropped = 0
+        self._waiting: dict[str, asyncio.Event] = {}
+
+    # Reports
+
+    async def beat(self, request: Request) -> Response:
+        try:
+            report = messages.read_report(decode(request.body))
+        except (BadBody, msgspec.ValidationError) as error:
+            self.dropped += 1
+            log.info("report dropped: %s", error)
+            return Response(400, {"error": "malformed report"})
+        if report.token > self._election.token:
+            self._election.hear(report.token, None)
+        if not self._election.answers_workers():
+            return Response(421, messages.elsewhere(self._election.leader))
+        if report.machine in self._book.gone:
+            # Its deletion was answered: a late report of a machine that is no more.
+            return again(503, seconds(1), "machine is gone")
+        machine = self._book.machines.get(report.machine) or self._adopt(report)
+        if (report.session, report.sequence) <= machine.newest or report.session <= machine.silent_sessions:
+            self.dropped += 1
+            return again(503, seconds(1), "an older report")
+        now = self._clock()
+        machine.newest = (report.session, report.sequence)
+        machine.reported_at = now
+        if report.token < self._election.token:
+            # The first answer carries our token; what the next report lists, no earlier
+            # leader can change any more.
+            return self._answer(machine, [])
+        commands = self._take(machine, report, now)
+        if machine.state is MachineState.UP and self._may_come(machine):
+            await self._linger(machine)
+            if not self._election.answers_workers():
+                return Response(421, messages.elsewhere(self._election.leader))
+        commands += self._commands(machine)
+        return self._answer(machine, commands[:MOST_ORDERS])
+
+    def _answer(self, machine: Machine, commands: list[dict[str, Any]]) -> Response:
+        machine.answered_at = self._clock()
+        return Response(200, messages.orders(self._election.token, commands))
+
+    def _adopt(self, report: Report) -> Machine:
+        """A machine nobody told us of: rented by a late request or by an earlier leader."""
+        machine = Machine(
+            report.machine, report.type, report.zone, report.spot, MachineState.UNSURE, self._clock()
+        )
+        self._describe(machine)
+        self._book.machines[machine.name] = machine
+        return machine
+
+    def _may_come(self, machine: Machine) -> bool:
+        return machine.open and any(hold.state is HoldState.PLANNED for hold in machine.holds.values())
+
+    async def _linger(self, machine: Machine) -> None:
+        """Waits a moment for starts that are being made durable: quicker than the next report."""
+        event = self._waiting.setdefault(machine.name, asyncio.Event())
+        event.clear()
+        try:
+            async with asyncio.timeout(0.4):
+                await event.wait()
+        except TimeoutError:
+            pass
+
+    def assign(self, machine: Machine) -> None:
+        """Makes the machine's new holds durable, then lets them be sent."""
+        planned = [hold for hold in machine.holds.values() if hold.state is HoldState.PLANNED]
+
+        def durable() -> None:
+            # Only what the written record held; later plans wait for a record of their own.
+            for hold in planned:
+                if hold.state is HoldState.PLANNED and machine.holds.get(hold.attempt) is hold:
+                    hold.move(HoldState.READY)
+            event = self._waiting.get(machine.name)
+            if event is not None:
+                event.set()
+
+        self._writer.write(
+            machine_key(machine.name), Rank.ASSIGN, lambda: to_store(machine_record(machine)), durable
+        )
+
+    # What a report says
+
+    def _take(self, machine: Machine, report: Report, now: timedelta) -> list[dict[str, Any]]:
+        if machine.address != report.address:
+            machine.address = report.address
+        if machine.state in (MachineState.BOOTING, MachineState.UNSURE):
+            machine.move(MachineState.UP)
+            machine.empty_since = now
+            self._changed()
+        if report.notice_s is not None and machine.recall_at is None:
+            log.info("%s will be taken in %.1f s", machine.name, report.notice_s)
+            machine.recall_at = now + seconds(max(0.0, report.notice_s))
+            self._changed()
+        commands: list[dict[str, Any]] = []
+        listed: set[int] = set()
+        for task in report.tasks:
+            listed.add(task.attempt)
+            hold = machine.holds.get(task.attempt)
+            if task.state == "exited":
+                if self._exited(machine, hold, task, now):
+                    commands.append(messages.reap(task.name, task.attempt))
+            elif hold is not None:
+                self._seen(hold, task, now)
+            else:
+                commands += self._unexpected(machine, task, now)
+        for hold in list(machine.holds.values()):
+            if hold.attempt not in listed and hold.state in _MUST_BE_LISTED:
+                # Killed with its session, or never sent by the leader before us.
+                log.info("%s no longer has %s/%s", machine.name, hold.job.id, hold.task)
+                self._drop(hold, now)
+            elif hold.attempt not in listed:
+                # The answer that carried its start was lost, and won't be executed any more.
+                hold.sent = False
+        return commands
+
+    def _seen(self, hold: Hold, task: Task, now: timedelta) -> None:
+        state = STATES.get(task.state)
+        if state is None:
+            log.info("unknown task state %r", task.state)
+            return
+        if state is not HoldState.FETCHING:
+            hold.machine.images[hold.job.spec.image] = hold.job.spec.image_gb
+            if hold.started_at is None:
+                hold.started_at = now
+        hold.move(state)
+
+    def _unexpected(self, machine: Machine, task: Task, now: timedelta) -> list[dict[str, Any]]:
+        """A running task that no record names: counted while it is there, and stopped."""
+        name = task.split()
+        job = self._book.jobs.get(name[0]) if name else None
+        log.info("%s has %s attempt %s, which is not recorded", machine.name, task.name, task.attempt)
+        if name is None or job is None or not 0 <= name[1] < job.total:
+            return [{"verb": "halt", "piece": task.name, "try": task.attempt, "wind_down_s": 0}]
+        hold = self._book.hold(machine, job, name[1], task.attempt, HoldState.UNSEEN, now)
+        hold.stop = Stop.KILL
+        self._seen(hold, task, now)
+        if name[1] in job.pending:
+            job.pending.remove(name[1])
+        return []
+
+    def _exited(self, machine: Machine, hold: Hold | None, task: Task, now: timedelta) -> bool:
+        """Takes in the end of a task; True if the worker may forget it now."""
+        name = task.split()
+        job = hold.job if hold is not None else self._book.jobs.get(name[0]) if name else None
+        if hold is not None:
+            self._learn(machine, hold, task, now)
+        if task.why == "done" and job is not None and name is not None and 0 <= name[1] < job.total:
+            index = name[1]
+            waiting = task.attempt in machine.to_reap
+            if job.open and not job.is_done(index):
+                job.set_done(index)
+                if index in job.pending:
+                    job.pending.remove(index)
+                machine.to_reap[task.attempt] = (job.id, index)
+
+                def durable() -> None:
+                    machine.to_reap.pop(task.attempt, None)
+
+                self._finished(job, index, durable)
+                waiting = True
+            if hold is not None:
+                self._drop(hold, now)
+            return not waiting
+        if hold is not None:
+            self._drop(hold, now)
+        return True
+
+    def _learn(self, machine: Machine, hold: Hold, task: Task, now: timedelta) -> None:
+        job = hold.job
+        if task.why == "done":
+            machine.images[job.spec.image] = job.spec.image_gb
+            self.health.succeeded(machine, job)
+            if hold.started_at is not None and hold.stop is None:
+                self._work.saw(job.spec.job_class, job.spec.expected_s, now - hold.started_at)
+        elif task.why == "error":
+            log.info("%s failed on %s", task.name, machine.name)
+            self.health.failed(machine, job, now)
+        elif task.why in ("no_room", "in_use", "no_such"):
+            log.info("%s refused %s: %s", machine.name, task.name, task.why)
+            self.health.refused(job, now)
+
+    def _drop(self, hold: Hold, now: timedelta) -> None:
+        self._book.drop(hold, now)
+        self._changed()
+
+    # What the worker is told
+
+    def _commands(self, machine: Machine) -> list[dict[str, Any]]:
+        leads = self._election.leads()
+        commands: list[dict[str, Any]] = []
+        starts: list[dict[str, Any]] = []
+        now = self._clock()
+        for hold in list(machine.holds.values()):
+            job = hold.job
+            if not job.open or job.is_done(hold.task):
+                hold.stop = Stop.KILL
+            unwanted = hold.stop is not None or machine.state is not MachineState.UP
+            if unwanted and hold.state in (HoldState.PLANNED, HoldState.READY) and not hold.sent:
+                # No start is on its way, so it is surely not there.
+                self._drop(hold, now)
+            elif hold.stop is not None:
+                grace = job.spec.save_s if hold.stop is Stop.SAVE and job.spec.saves else 0.0
+                commands.append(messages.halt(job.id, hold.task, hold.attempt, grace))
+            elif hold.state is HoldState.READY and leads and machine.state is MachineState.UP:
+                hold.sent = True
+                starts.append(messages.start(job.id, hold.task, hold.attempt))
+        return commands + starts
+
+
+# A hold in one of these states that a report leaves out is not on the machine.
+_MUST_BE_LISTED = SEEN | {HoldState.UNSEEN}
--- /dev/null
+++ b/src/elmthread/cli.py
@@ -0,0 +1,63 @@
+"""The command line: serve, check, and a user's submit, status and withdraw."""
+
+import argparse
+import asyncio
+import sys
+from pathlib import Path
+
+from elmthread import __version__
+from elmthread.common import logs
+from elmthread.settings import operators, platform
+from elmthread.settings.platform import BadSettings
+
+OK, FAILED, BAD_SETTINGS = 0, 1, 2
+
+
+def parser() -> argparse.ArgumentParser:
+    top = argparse.ArgumentParser(prog="elmthread", description="A cluster scheduler.")
+    top.add_argument("--version", action="version", version=f"elmthread {__version__}")
+    verbs = top.add_subparsers(dest="verb", required=True)
+    for verb, text in (("serve", "run a controller"), ("check", "check the settings without starting")):
+        sub = verbs.add_parser(verb, help=text)
+        sub.add_argument("--config", type=Path, required=True, metavar="FILE", help="the platform's file (TOML)")
+        sub.add_argument("--operators", type=Path, metavar="FILE", help="the operators' own settings (TOML)")
+    submit = verbs.add_parser("submit", help="submit a job")
+    submit.add_argument("job", type=Path, metavar="FILE", help="the job as JSON; - for standard input")
+    for verb, text in (("status", "tell a job's state"), ("withdraw", "cancel a job")):
+        sub = verbs.add_parser(verb, help=text)
+        sub.add_argument("job", metavar="ID")
+    for verb in ("submit", "status", "withdraw"):
+        verbs.choices[verb].add_argument(
+            "--server", required=True, metavar="HOST:PORT", help="the address of a controller or load balancer"
+        )
+    return top
+
+
+def main(argv: list[str] | None = None) -> int:
+    args = parser().parse_args(argv)
+    logs.set_up()
+    if args.verb in ("serve", "check"):
+        try:
+            facts = platform.load(args.config)
+            own = operators.load(args.operators)
+        except BadSettings as error:
+            print(f"elmthread: {error}", file=sys.stderr)
+            return BAD_SETTINGS
+        if args.verb == "check":
+            print(f"{args.config}: good")
+            return OK
+        # Only a controller that really starts pays for loading the rest.
+        from elmthread.controller import Controller
+
+        try:
+            asyncio.run(Controller(facts, own).run())
+        except KeyboardInterrupt:
+            pass
+        return OK
+    from elmthread.intake import command
+
+    return command.run(args)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/src/elmthread/common/http.py
@@ -0,0 +1,268 @@
+"""HTTP/1.1 with CBOR bodies over asyncio streams: a server and a small pooled client."""
+
+import asyncio
+import logging
+from collections.abc import Awaitable, Callable, Mapping
+from dataclasses import dataclass, field
+from datetime import timedelta
+from typing import Any, Protocol
+from urllib.parse import parse_qsl, urlsplit
+
+import cbor2
+import h11
+
+from elmthread.common.clock import Clock, seconds, steady
+
+log = logging.getLogger(__name__)
+
+MAX_BODY = 64 * 1024
+READ_SIZE = 64 * 1024
+# A client that stays silent in the middle of a request, or idle between two, is cut off.
+REQUEST_TIME = seconds(10)
+IDLE_TIME = seconds(75)
+
+
+@dataclass(slots=True)
+class Request:
+    method: str
+    path: str
+    query: Mapping[str, str]
+    body: bytes = b""
+
+
+@dataclass(slots=True)
+class Response:
+    status: int
+    body: Any = None
+    retry_after: timedelta | None = None
+    close: bool = False
+
+
+def again(status: int, after: timedelta, why: str) -> Response:
+    """An answer for what can't be taken now: told at once, with the time to come back."""
+    return Response(status, {"error": why}, retry_after=after)
+
+
+Handler = Callable[[Request], Awaitable[Response]]
+
+
+class BadBody(Exception):
+    """The body is not CBOR."""
+
+
+def decode(body: bytes) -> Any:
+    try:
+        return cbor2.loads(body)
+    except Exception as error:  # the decoder raises many kinds on hostile bytes
+        raise BadBody(str(error)) from error
+
+
+REASONS = {200: b"OK", 201: b"Created", 400: b"Bad Request", 404: b"Not Found"}
+
+
+@dataclass(slots=True, eq=False)
+class _Open:
+    writer: asyncio.StreamWriter
+    until: timedelta
+
+
+@dataclass(eq=False)
+class Server:
+    """Serves each connection in order; a bounded number of them, each with a time limit."""
+
+    handle: Handler
+    max_connections: int
+    clock: Clock = steady
+    _open: set[_Open] = field(default_factory=set)
+    _server: asyncio.Server | None = None
+
+    async def start(self, host: str, port: int) -> int:
+        self._server = await asyncio.start_server(self._serve, host, port, limit=READ_SIZE, backlog=256)
+        return int(self._server.sockets[0].getsockname()[1])
+
+    async def sweep(self) -> None:
+        """Cuts off the slow and the silent; one loop is cheaper than a timer a connection."""
+        while True:
+            await asyncio.sleep(2)
+            now = self.clock()
+            for one in [one for one in self._open if one.until < now]:
+                one.writer.transport.abort()
+
+    async def close(self) -> None:
+        if self._server is not None:
+            self._server.close()
+        for one in list(self._open):
+            one.writer.transport.abort()
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        if len(self._open) >= self.max_connections:
+            writer.transport.abort()
+            return
+        me = _Open(writer, self.clock() + IDLE_TIME)
+        self._open.add(me)
+        try:
+            await self._talk(me, reader, writer)
+        except (ConnectionError, TimeoutError, OSError):
+            pass
+        finally:
+            self._open.discard(me)
+            writer.close()
+
+    async def _talk(self, me: _Open, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        conn = h11.Connection(h11.SERVER, max_incomplete_event_size=16 * 1024)
+        while True:
+            head: h11.Request | None = None
+            body = bytearray()
+            try:
+                while True:
+                    event = conn.next_event()
+                    if event is h11.NEED_DATA:
+                        data = await reader.read(READ_SIZE)
+                        if data:
+                            me.until = min(me.until, self.clock() + REQUEST_TIME)
+                        conn.receive_data(data)
+                    elif isinstance(event, h11.Request):
+                        head = event
+                    elif isinstance(event, h11.Data):
+                        body += event.data
+                        if len(body) > MAX_BODY:
+                            raise h11.RemoteProtocolError("body too large")
+                    elif isinstance(event, h11.EndOfMessage):
+                        break
+                    else:  # closed by the other side
+                        return
+                    if isinstance(event, h11.Request) and _length(event) > MAX_BODY:
+                        raise h11.RemoteProtocolError("body too large")
+            except h11.RemoteProtocolError as error:
+                refusal = Response(400, {"error": str(error)}, close=True)
+                if conn.our_state in (h11.IDLE, h11.SEND_RESPONSE):
+                    writer.write(_encode(conn, refusal))
+                    await writer.drain()
+                return
+            assert head is not None
+            me.until = self.clock() + IDLE_TIME
+            target = urlsplit(head.target.decode("ascii", "replace"))
+            request = Request(
+                head.method.decode("ascii"), target.path, dict(parse_qsl(target.query)), bytes(body)
+            )
+            try:
+                response = await self.handle(request)
+            except Exception:
+                # One bad request must not cost the others anything.
+                log.exception("while answering %s %s", request.method, request.path)
+                response = again(503, seconds(1), "internal error")
+            writer.write(_encode(conn, response))
+            await writer.drain()
+            if conn.our_state is not h11.DONE or conn.their_state is not h11.DONE:
+                return
+            conn.start_next_cycle()
+            me.until = self.clock() + IDLE_TIME
+
+
+def _length(event: h11.Request) -> int:
+    for name, value in event.headers:
+        if name == b"content-length":
+            return int(value)
+    return 0
+
+
+def _encode(conn: h11.Connection, response: Response) -> bytes:
+    payload = b"" if response.body is None else cbor2.dumps(response.body)
+    headers = [(b"content-type", b"application/cbor"), (b"content-length", b"%d" % len(payload))]
+    if response.retry_after is not None:
+        headers.append((b"retry-after", b"%d" % max(1, round(response.retry_after.total_seconds()))))
+    if response.close:
+        headers.append((b"connection", b"close"))
+    out = [
+        conn.send(
+            h11.Response(
+                status_code=response.status,
+                headers=headers,
+                reason=REASONS.get(response.status, b""),
+            )
+        ),
+        conn.send(h11.Data(data=payload)) if payload else b"",
+        conn.send(h11.EndOfMessage()),
+    ]
+    return b"".join(part for part in out if part)
+
+
+class NoAnswer(Exception):
+    """No usable answer: the request may or may not have been carried out."""
+
+
+@dataclass(slots=True)
+class Answer:
+    status: int
+    body: Any
+
+
+class Caller(Protocol):
+    """What the slices need of an HTTP client; tests put stand-ins here."""
+
+    async def call(self, method: str, path: str, body: Any = None, *, timeout: timedelta) -> Answer: ...
+
+
+class Client:
+    """Keeps a few connections to one address, each with one request in flight."""
+
+    def __init__(self, address: str, most_idle: int = 4) -> None:
+        host, _, port = address.rpartition(":")
+        self.host, self.port, self.address = host, int(port), address
+        self._idle: list[tuple[asyncio.StreamReader, asyncio.StreamWriter, h11.Connection]] = []
+        self._most_idle = most_idle
+
+    async def call(self, method: str, path: str, body: Any = None, *, timeout: timedelta) -> Answer:
+        payload = b"" if body is None else cbor2.dumps(body)
+        try:
+            async with asyncio.timeout(timeout.total_seconds()):
+                return await self._exchange(method, path, payload)
+        except (OSError, TimeoutError, EOFError, h11.ProtocolError, BadBody, asyncio.IncompleteReadError) as error:
+            raise NoAnswer(f"{method} {path.split('?')[0]}: {error or type(error).__name__}") from error
+
+    async def _exchange(self, method: str, path: str, payload: bytes) -> Answer:
+        while True:
+            if self._idle:
+                reader, writer, conn = self._idle.pop()
+                if reader.at_eof() or writer.is_closing():
+                    writer.close()
+                    continue
+            else:
+                reader, writer = await asyncio.open_connection(self.host, self.port, limit=READ_SIZE)
+                conn = h11.Connection(h11.CLIENT)
+            break
+        keep = False
+        try:
+            request = h11.Request(
+                method=method,
+                target=path,
+                headers=[
+                    (b"host", self.address.encode()),
+                    (b"content-type", b"application/cbor"),
+                    (b"content-length", b"%d" % len(payload)),
+                ],
+            )
+            parts = [conn.send(request), conn.send(h11.Data(data=payload)) if payload else b"", conn.send(h11.EndOfMessage())]
+            writer.write(b"".join(part for part in parts if part))
+            status = 0
+            data = bytearray()
+            while True:
+                event = conn.next_event()
+                if event is h11.NEED_DATA:
+                    conn.receive_data(await reader.read(READ_SIZE))
+                elif isinstance(event, h11.Response):
+                    status = event.status_code
+                elif isinstance(event, h11.Data):
+                    data += event.data
+                elif isinstance(event, h11.EndOfMessage):
+                    break
+                elif isinstance(event, h11.ConnectionClosed):
+                    raise EOFError("connection closed")
+            keep = conn.our_state is h11.DONE and conn.their_state is h11.DONE
+            return Answer(status, decode(bytes(data)) if data else None)
+        finally:
+            if keep and len(self._idle) < self._most_idle:
+                conn.start_next_cycle()
+                self._idle.append((reader, writer, conn))
+            else:
+                writer.transport.abort()
--- /dev/null
+++ b/src/elmthread/controller.py
@@ -0,0 +1,377 @@
+"""One controller: what every node runs, and what the leader runs besides, from win to loss."""
+
+import asyncio
+import logging
+from datetime import UTC, datetime, timedelta
+from typing import Any
+
+import msgspec
+
+from elmthread.agents.service import Agents
+from elmthread.common.clock import Clock, seconds, steady
+from elmthread.common.http import Caller, Client, Request, Response, Server
+from elmthread.fleet.client import CloudClient
+from elmthread.fleet.messages import Type
+from elmthread.fleet.service import Fleet
+from elmthread.intake.api import Api
+from elmthread.intake.messages import Submission
+from elmthread.intake.service import Intake
+from elmthread.agents.messages import elsewhere
+from elmthread.leadership.election import Election
+from elmthread.ledger import messages as ledger_messages
+from elmthread.ledger import records
+from elmthread.ledger.client import StateClient, Unavailable, Unsure
+from elmthread.ledger.pacing import Bucket
+from elmthread.ledger.writer import Writer
+from elmthread.peers.link import Peers
+from elmthread.peers.messages import Lead
+from elmthread.placement.book import Book, HoldState, Job, JobState, Machine, MachineState
+from elmthread.placement.decide import Want
+from elmthread.placement.service import Placement, may_ever_run
+from elmthread.settings.operators import Operators
+from elmthread.settings.platform import Platform, split_address
+from elmthread.sizing.service import Sizing
+from elmthread.sizing.work import WorkModel
+
+log = logging.getLogger(__name__)
+
+LEASE = seconds(5)
+# Telling a user `cancelled` is right only if a machine that nobody reaches is empty within
+# cancel_s: an old leader's last answers and the worker's lease must both fit into it.
+CANCEL_SLACK = seconds(4)
+ROUND = seconds(0.1)
+PAGE = 400
+# Attempts are unique for ever: the token, which grows with each leadership, and a count.
+ATTEMPTS = 10_000_000
+# Parts of the state service's rates: the rest is for renewals and the other nodes.
+LEADERS_PART = 0.85
+OTHERS_PART = 0.1
+
+
+def holding_time(platform: Platform) -> timedelta:
+    """How long workers may be answered on a lease that is no longer sure."""
+    workers = platform.facts.workers
+    return max(seconds(0), min(workers.cancel - workers.lease - CANCEL_SLACK, seconds(60)))
+
+
+class Leader:
+    """All that lives from winning the lease to losing it."""
+
+    def __init__(
+        self,
+        platform: Platform,
+        operators: Operators,
+        election: Election,
+        state: StateClient,
+        cloud: Caller,
+        clock: Clock,
+        token: int,
+    ) -> None:
+        self._platform = platform
+        self._operators = operators
+        self._election = election
+        self._state = state
+        self._clock = clock
+        self.token = token
+        facts = platform.facts
+        self._teams = {team.name: team for team in facts.teams}
+        self._objectives = {
+            objective.job_class: seconds(objective.within_s)
+            for objective in facts.objectives
+            if objective.kind == "finished" and objective.job_class and objective.within_s
+        }
+        self._attempts = token * ATTEMPTS
+        self._rentals = 0
+        self._chunk = records.chunk_tasks(facts.state.value_kb)
+        self._stamps: dict[str, int] = {}
+        rate = facts.state.write_rps * LEADERS_PART
+        self.book = Book(records.most_holds(facts.state.value_kb))
+        self.writer = Writer(
+            state, token, self._stamps, Bucket(rate, rate, clock), facts.state.txn_ops, clock,
+            lambda: election.step_down("a transaction found another leader"),
+        )
+        self.work = WorkModel()
+        calls = Bucket(facts.cloud.rps * 0.9, max(1.0, facts.cloud.rps * 1.5), clock)
+        unsure_until = clock() + election.unaccounted_for(facts.workers.lease)
+        self.fleet = Fleet(
+            self.book, CloudClient(cloud, calls), self.writer, clock, facts.cloud.list_lag,
+            facts.workers.lease, unsure_until, election.leads, self._next_rental, self.changed,
+        )
+        self.intake = Intake(
+            self.book, election, self.writer, clock, self._new_job, self._can_run,
+            lambda: bool(self.fleet.types), self.changed,
+        )
+        self.agents = Agents(
+            self.book, election, self.writer, self.work, clock, self.fleet.describe,
+            self.intake.finished, self.changed,
+        )
+        self.placement = Placement(
+            self.book, self._teams, clock, self._next_attempt, self.agents.assign, self._expected
+        )
+        self.sizing = Sizing(self.book, self.fleet, self.placement, self.work, operators, clock)
+        self.loaded = False
+        self._change = asyncio.Event()
+
+    def changed(self) -> None:
+        self._change.set()
+
+    def _next_attempt(self) -> int:
+        self._attempts += 1
+        return self._attempts
+
+    def _next_rental(self) -> str:
+        self._rentals += 1
+        return f"r-{self.token}-{self._rentals}"
+
+    def _expected(self, job: Job) -> timedelta:
+        return self.work.run_time(job.spec.job_class, job.spec.expected_s)
+
+    # Jobs
+
+    def _new_job(self, spec: Submission, since: timedelta, submitted: datetime | None = None) -> Job:
+        objective = self._objectives.get(spec.job_class)
+        fields: dict[str, Any] = {
+            "job_class": spec.job_class,
+            "team": spec.team,
+            "form": spec.form,
+            "priority": spec.priority,
+            "tasks": spec.tasks,
+            "cpus": spec.cpus,
+            "cards": spec.cards,
+            "ram_gb": spec.ram_gb,
+            "expected_s": spec.expected_s,
+            "due_s": spec.due_s or 0.0,
+            "objective_s": 0.0 if objective is None else objective.total_seconds(),
+            "saves": spec.saves,
+            "spot": spec.spot,
+        }
+        return Job(
+            spec,
+            submitted or datetime.now(UTC),
+            since,
+            self._operators.deadline(fields),
+            self._operators.urgent(fields),
+            self._chunk,
+        )
+
+    def _can_run(self, spec: Submission) -> str | None:
+        team = self._teams.get(spec.team)
+        if team is None:
+            return "unknown team"
+        want = Want(
+            job=spec.id, team=spec.team, order=(), count=1, cpus=spec.cpus, cards=spec.cards, ram=spec.ram_gb,
+            types=None if spec.types is None else frozenset(spec.types), zone=spec.zone,
+        )
+        types = [(t.name, t.cpus, t.cards, t.memory_gb, t.zones) for t in self.fleet.types.values()]
+        return may_ever_run(want, team, types)
+
+    # Loading
+
+    async def load(self) -> None:
+        """Rebuilds the view: jobs, done tasks, assignments, rentals in doubt, machine types."""
+        for item in await self._all("j/"):
+            self._load_job(item)
+        for item in await self._all("d/"):
+            _, job_id, chunk = item.key.rsplit("/", 2) if item.key.count("/") == 2 else ("", "", "")
+            job = self.book.jobs.get(job_id)
+            if job is not None and job.open:
+                records.mark_done(job, int(chunk), msgspec.convert(item.value, records.DoneRecord))
+            else:
+                self.writer.delete(item.key)
+        for item in await self._all("m/"):
+            self._load_machine(item)
+        for item in await self._all("r/"):
+            # Whether it was carried out shows in the machine list; the name is never used again.
+            self.writer.delete(item.key)
+        for item in await self._all("t/"):
+            self.fleet.set_types(msgspec.convert(item.value, list[Type]))
+        for job in list(self.book.open_jobs.values()):
+            job.refill()
+            if job.count_done == job.total:
+                self.intake.finished(job, 0, lambda: None)
+        self.loaded = True
+        log.info(
+            "loaded %s jobs, %s of them open, and %s machines",
+            len(self.book.jobs), len(self.book.open_jobs), len(self.book.machines),
+        )
+
+    async def _all(self, prefix: str) -> list[ledger_messages.Item]:
+        items: list[ledger_messages.Item] = []
+        after = None
+        while True:
+            try:
+                page = await self._state.page(prefix, after, PAGE)
+            except (Unavailable, Unsure) as error:
+                log.info("loading %s: %s", prefix, error)
+                await asyncio.sleep(0.2)
+                continue
+            for item in page.items:
+                self._stamps[item.key] = item.stamp
+            items += page.items
+            if not page.more or not page.items:
+                return items
+            after = page.items[-1].key
+
+    def _load_job(self, item: ledger_messages.Item) -> None:
+        record = msgspec.convert(item.value, records.JobRecord)
+        state = JobState(record.state)
+        if record.spec is None:
+            spec = _finished_spec(item.key.removeprefix("j/"), record.tasks)
+            job = Job(spec, datetime.now(UTC), self._clock(), seconds(0), False, self._chunk)
+            job.pending.clear()
+        else:
+            submitted = records.submitted_at(record)
+            age = max(timedelta(), datetime.now(UTC) - submitted)
+            job = self._new_job(record.spec, self._clock() - age, submitted)
+            job.chunk = record.chunk
+        job.state = job.stored = job.writing = state
+        if state is JobState.DONE:
+            job.count_done = job.total
+        self.book.add_job(job)
+
+    def _load_machine(self, item: ledger_messages.Item) -> None:
+        record = msgspec.convert(item.value, records.MachineRecord)
+        name = item.key.removeprefix("m/")
+        now = self._clock()
+        machine = Machine(name, record.build, record.zone, record.spot, MachineState.UNSURE, now)
+        machine.address = record.address
+        machine.pool = record.pool
+        self.book.machines[name] = machine
+        for job_id, numbers in record.holds.items():
+            job = self.book.jobs.get(job_id)
+            if job is None:
+                continue
+            for task, attempt in zip(numbers[::2], numbers[1::2], strict=True):
+                if not job.is_done(task) and job.state is not JobState.DONE:
+                    self.book.hold(machine, job, task, attempt, HoldState.UNSEEN, now)
+
+    # Running
+
+    async def run(self) -> None:
+        await self.load()
+        self.changed()
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self.writer.run())
+            group.create_task(self.fleet.run())
+            group.create_task(self._place())
+            group.create_task(self._size())
+
+    async def _place(self) -> None:
+        """A round after each change, though not too often: rounds gather what came meanwhile."""
+        while True:
+            try:
+                async with asyncio.timeout(1):
+                    await self._change.wait()
+            except TimeoutError:
+                pass
+            self._change.clear()
+            if self._election.leads():
+                self.placement.round()
+            await asyncio.sleep(ROUND.total_seconds())
+
+    async def _size(self) -> None:
+        while True:
+            if self._election.leads():
+                self.sizing.round()
+            await asyncio.sleep(self._operators.check.total_seconds())
+
+    def stop(self) -> None:
+        self.writer.stop()
+        self.fleet.stop()
+
+
+def _finished_spec(job_id: str, tasks: int) -> Submission:
+    """Of a job that is over only its end is kept; this fills the form."""
+    return Submission(
+        id=job_id, job_class="-", team="-", form="batch", priority="normal", tasks=tasks, cpus=1.0, cards=0.0,
+        ram_gb=0.0, image="-", image_gb=0.0, one_zone=False, spread=False, spot=True, expected_s=0.0,
+        checkpoint_s=0.0, save_s=0.0,
+    )
+
+
+class Controller:
+    def __init__(
+        self,
+        platform: Platform,
+        operators: Operators,
+        clock: Clock = steady,
+        state: Caller | None = None,
+        cloud: Caller | None = None,
+    ) -> None:
+        self._platform = platform
+        self._operators = operators
+        self._clock = clock
+        facts = platform.facts
+        # A follower needs little of the state service's rate; a leader takes its own part.
+        self._requests = Bucket(facts.state.rps * OTHERS_PART, facts.state.rps * OTHERS_PART, clock)
+        self._state = StateClient(state or Client(platform.endpoints.state), self._requests)
+        self._cloud = cloud or Client(platform.endpoints.cloud)
+        self.election = Election(
+            platform.node, self._state, clock, LEASE, holding_time(platform), self._won, self._lost
+        )
+        links = {other.node: split_address(other.address) for other in platform.others}
+        self.peers = Peers(
+            links, self._answer, lambda lead: self.election.hear(lead.token, lead.leader), self._say
+        )
+        self.api = Api(platform.node, self.election, self.peers, clock, self._intake, self._beat)
+        self.server = Server(self.api.handle, max(10, facts.limits.max_connections * 3 // 4), clock)
+        self.leader: Leader | None = None
+        self._leading: asyncio.Task[None] | None = None
+
+    def _won(self, token: int) -> None:
+        rps = self._platform.facts.state.rps
+        self._requests.rate, self._requests.burst = rps * LEADERS_PART, rps * LEADERS_PART
+        self.leader = Leader(
+            self._platform, self._operators, self.election, self._state, self._cloud, self._clock, token
+        )
+        self._leading = asyncio.get_running_loop().create_task(self._lead(self.leader))
+        self.peers.tell()
+
+    async def _lead(self, leader: Leader) -> None:
+        try:
+            await leader.run()
+        except asyncio.CancelledError:
+            raise
+        except Exception:
+            # A fault in one leader's work: another, with a view built anew, may fare better.
+            log.exception("the leader's work has failed")
+            self.election.step_down("a fault")
+
+    def _lost(self) -> None:
+        rps = self._platform.facts.state.rps
+        self._requests.rate, self._requests.burst = rps * OTHERS_PART, rps * OTHERS_PART
+        if self.leader is not None:
+            self.leader.stop()
+        if self._leading is not None:
+            self._leading.cancel()
+        self.leader = self._leading = None
+        self.peers.tell()
+
+    def _intake(self) -> Intake | None:
+        if self.leader is not None and self.leader.loaded and self.election.leads():
+            return self.leader.intake
+        return None
+
+    async def _beat(self, request: Request) -> Response:
+        leader = self.leader
+        if leader is None or not leader.loaded:
+            known = self.election.leader
+            return Response(421, elsewhere(None if known == self._platform.node else known))
+        return await leader.agents.beat(request)
+
+    async def _answer(self, ask: Any) -> Any:
+        return await self.api.answer(ask)
+
+    def _say(self) -> Lead:
+        return Lead(self.election.leader, self.election.seen_token)
+
+    async def run(self) -> None:
+        platform = self._platform
+        host, port = split_address(platform.listen)
+        await self.server.start(host, port)
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self.server.sweep())
+            group.create_task(self.peers.run(*split_address(platform.peer_listen)))
+            group.create_task(self.election.run())
+
+
--- /dev/null
+++ b/src/elmthread/fleet/client.py
@@ -0,0 +1,68 @@
+"""The cloud met through its protocol, paced within its rate."""
+
+import logging
+
+from typing import Any, TypeVar
+
+import msgspec
+
+from elmthread.common.clock import seconds
+from elmthread.common.http import Caller, NoAnswer
+from elmthread.fleet import messages
+from elmthread.ledger.pacing import Bucket
+
+log = logging.getLogger(__name__)
+
+T = TypeVar("T", bound=msgspec.Struct)
+CALL_TIME = seconds(5)
+MOST_DELETED = 100
+MOST_RENTED = 50
+
+
+class Trouble(Exception):
+    """No usable answer; the request may have been carried out unless `refused`."""
+
+
+class NoCapacity(Exception):
+    """The cloud has none of this type, zone and kind now."""
+
+
+class CloudClient:
+    def __init__(self, caller: Caller, calls: Bucket) -> None:
+        self._caller = caller
+        self.calls = calls
+
+    async def types(self) -> list[messages.Type]:
+        return (await self._call("GET", "/flavors", None, messages.Types)).types
+
+    async def rent(self, name: str, build: str, zone: str, spot: bool, count: int) -> list[str]:
+        body = messages.rental(name, build, zone, spot, min(count, MOST_RENTED))
+        return (await self._call("POST", "/hosts", body, messages.Rented)).machines
+
+    async def delete(self, names: list[str]) -> None:
+        await self._call("POST", "/hosts/delete", messages.deletion(names), None)
+
+    async def page(self, after: str | None, most: int = 500) -> messages.Page:
+        since = "" if after is None else f"&since={after}"
+        return await self._call("GET", f"/hosts?most={most}{since}", None, messages.Page)
+
+    async def _call(self, method: str, path: str, body: Any, kind: type[T] | None) -> T:
+        try:
+            answer = await self._caller.call(method, path, body, timeout=CALL_TIME)
+        except NoAnswer as error:
+            raise Trouble(str(error)) from error
+        if answer.status == 429:
+            self.calls.drain()
+        if answer.status == 503 and isinstance(answer.body, dict) and answer.body.get("error") == "no capacity":
+            raise NoCapacity(path)
+        if answer.status != 200:
+            raise Trouble(f"{method} {path}: {answer.status} {answer.body}")
+        if kind is None:
+            return None  # type: ignore[return-value]
+        try:
+            return msgspec.convert(answer.body, kind)
+        except msgspec.ValidationError as error:
+            log.error("cloud: malformed answer: %s", error)
+            raise Trouble(str(error)) from error
+
+
--- /dev/null
+++ b/src/elmthread/fleet/messages.py
@@ -0,0 +1,65 @@
+"""The cloud's words on the wire."""
+
+from typing import Any
+
+import msgspec
+
+
+class Type(
+    msgspec.Struct,
+    rename={"memory_gb": "ram_gb", "price": "rate", "boot_s": "ready_s", "zones": "yards"},
+):
+    """A type of machine, as the cloud describes it."""
+
+    name: str
+    cpus: float
+    cards: float
+    memory_gb: float
+    cache_gb: float
+    fetch_gb_per_s: float
+    price: float
+    spot_price: float
+    boot_s: float
+    zones: list[str]
+
+
+class Types(msgspec.Struct, rename={"types": "builds"}):
+    types: list[Type]
+
+
+class Rented(msgspec.Struct, rename={"machines": "looms"}):
+    machines: list[str]
+
+
+class Listed(
+    msgspec.Struct,
+    rename={
+        "name": "name_id",
+        "address": "endpoint",
+        "type": "build",
+        "zone": "yard",
+        "spot": "loaners",
+        "state": "status",
+        "age_s": "held_s",
+    },
+):
+    name: str
+    type: str
+    zone: str
+    spot: bool
+    state: str
+    age_s: float = 0.0
+    address: str | None = None
+
+
+class Page(msgspec.Struct, rename={"machines": "looms", "more": "has_next"}):
+    machines: list[Listed]
+    more: bool = False
+
+
+def rental(name: str, build: str, zone: str, spot: bool, count: int) -> dict[str, Any]:
+    return {"hire": name, "build": build, "yard": zone, "loaners": spot, "how_many": count}
+
+
+def deletion(names: list[str]) -> dict[str, Any]:
+    return {"looms": names}
--- /dev/null
+++ b/src/elmthread/fleet/service.py
@@ -0,0 +1,353 @@
+"""The machines: listed, rented, given up and returned.
+
+The cloud's list lags and can be older than the one before it, so absence from it proves
+nothing. What proves that a machine and all on it are gone is the answer to its deletion;
+so whatever is in doubt is deleted, and counts as there until that is answered.
+"""
+
+import asyncio
+import logging
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass
+from datetime import timedelta
+
+from elmthread.common.clock import Clock, at_least, seconds
+from elmthread.fleet import messages
+from elmthread.fleet.client import MOST_DELETED, CloudClient, NoCapacity, Trouble
+from elmthread.ledger.records import (
+    TYPES,
+    RentalRecord,
+    machine_key,
+    rental_key,
+    to_store,
+)
+from elmthread.ledger.writer import Rank, Writer
+from elmthread.placement.book import Book, Machine, MachineState
+
+log = logging.getLogger(__name__)
+
+TICK = seconds(0.2)
+TYPES_EVERY = seconds(60)
+# A type, zone and kind that was refused is not asked for again so soon.
+REFUSED = seconds(15)
+REFUSED_MOST = seconds(60)
+# A listed machine that many good lists in a row leave out is deleted to be sure.
+MISSING = 3
+# A machine that has not come up after this many times its usual boot time is given up.
+BOOTS = 2.5
+BOOT_SLACK = seconds(10)
+
+
+@dataclass(frozen=True)
+class Kind:
+    build: str
+    zone: str
+    spot: bool
+
+
+@dataclass(slots=True)
+class Order:
+    """A rental on its way: its machines count as coming."""
+
+    name: str
+    kind: Kind
+    count: int
+    pool: bool
+    since: timedelta
+    sent: bool = False
+
+
+class Fleet:
+    def __init__(
+        self,
+        book: Book,
+        cloud: CloudClient,
+        writer: Writer,
+        clock: Clock,
+        lag: timedelta,
+        lease: timedelta,
+        unsure_until: timedelta,
+        leads: Callable[[], bool],
+        next_name: Callable[[], str],
+        changed: Callable[[], None],
+    ) -> None:
+        self._book = book
+        self._cloud = cloud
+        self._writer = writer
+        self._clock = clock
+        self._lag = lag
+        self._lease = lease
+        self._unsure_until = unsure_until
+        self._leads = leads
+        self._next_name = next_name
+        self._changed = changed
+        self.types: dict[str, messages.Type] = {}
+        self.orders: dict[str, Order] = {}
+        self._ready: deque[Order] = deque()
+        self._refused: dict[Kind, tuple[timedelta, timedelta]] = {}
+        self._missing: dict[str, int] = {}
+        self._deleting: set[str] = set()
+        self._listed_at: timedelta | None = None
+        self._types_at: timedelta | None = None
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    # Machine types
+
+    def set_types(self, types: list[messages.Type]) -> None:
+        self.types = {kind.name: kind for kind in types}
+        for machine in self._book.machines.values():
+            self.describe(machine)
+        self._changed()
+
+    def describe(self, machine: Machine) -> None:
+        kind = self.types.get(machine.build)
+        if kind is not None:
+            machine.cpus, machine.cards, machine.ram = kind.cpus, kind.cards, kind.memory_gb
+            machine.fetch_rate = max(kind.fetch_gb_per_s, 0.001)
+            machine.price = kind.spot_price if machine.spot else kind.price
+
+    # The loop: one call to the cloud at a time is started each tick, the most pressing first
+
+    async def run(self) -> None:
+        while True:
+            if self._leads():
+                self._judge()
+                self._start_calls()
+            await asyncio.sleep(TICK.total_seconds())
+
+    def _start_calls(self) -> None:
+        now = self._clock()
+        calls = self._cloud.calls
+        doomed = [
+            machine.name
+            for machine in self._book.machines.values()
+            if machine.state is MachineState.DELETING and machine.name not in self._deleting
+        ][:MOST_DELETED]
+        if not self.types and self._due(self._types_at, seconds(2)) and calls.take():
+            self._types_at = now
+            self._spawn(self._learn_types())
+        if doomed and calls.take():
+            self._deleting.update(doomed)
+            self._spawn(self._delete(doomed))
+        # Deletions and rentals leave room for a list now and then.
+        if self._due(self._listed_at, self._list_every()) and calls.take():
+            self._listed_at = now
+            self._spawn(self._list())
+        while self._ready and calls.take():
+            self._spawn(self._rent(self._ready.popleft()))
+        if self.types and self._due(self._types_at, TYPES_EVERY) and calls.take(1, 1):
+            self._types_at = now
+            self._spawn(self._learn_types())
+
+    def _list_every(self) -> timedelta:
+        return max(self._lag / 2, seconds(3 / self._cloud.calls.rate))
+
+    def _due(self, last: timedelta | None, every: timedelta) -> bool:
+        return last is None or self._clock() - last >= every
+
+    def _spawn(self, work) -> None:  # type: ignore[no-untyped-def]
+        task = asyncio.get_running_loop().create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    def stop(self) -> None:
+        for task in list(self._tasks):
+            task.cancel()
+
+    async def _learn_types(self) -> None:
+        try:
+            types = await self._cloud.types()
+        except (Trouble, NoCapacity) as error:
+            log.info("types: %s", error)
+            return
+        fresh = not self.types
+        self.set_types(types)
+        if fresh:
+            self._writer.write(TYPES, Rank.ASSIGN, lambda: [to_store(kind) for kind in types])
+
+    # Lists
+
+    async def _list(self) -> None:
+        machines: list[messages.Listed] = []
+        after = None
+        try:
+            while True:
+                page = await self._cloud.page(after)
+                machines += page.machines
+                if not page.more or not page.machines:
+                    break
+                after = page.machines[-1].name
+        except (Trouble, NoCapacity) as error:
+            log.info("list: %s", error)
+            return
+        if self._leads():
+            self.take_list(machines)
+
+    def take_list(self, machines: list[messages.Listed]) -> None:
+        now = self._clock()
+        names = set()
+        for listed in machines:
+            names.add(listed.name)
+            if listed.name in self._book.gone:
+                continue
+            machine = self._book.machines.get(listed.name)
+            if machine is None:
+                machine = self._adopt(listed, now)
+            machine.was_listed = True
+            machine.listed = listed.state
+            self._missing.pop(listed.name, None)
+            if not machine.address and listed.address:
+                machine.address = listed.address
+            if listed.state == "failed":
+                # Stopped on its own. When it stopped is not known; the deletion's answer is proof.
+                self.give_up(machine, "listed as failed")
+        for machine in list(self._book.machines.values()):
+            if machine.was_listed and machine.name not in names:
+                count = self._missing[machine.name] = self._missing.get(machine.name, 0) + 1
+                silent = machine.reported_at is None or now - machine.reported_at > self._lag * 2
+                if count >= MISSING and silent:
+                    self.give_up(machine, "no longer listed")
+
+    def _adopt(self, listed: messages.Listed, now: timedelta) -> Machine:
+        state = MachineState.BOOTING if listed.state == "starting" else MachineState.UNSURE
+        machine = Machine(listed.name, listed.type, listed.zone, listed.spot, state, now)
+        machine.known_since = now - seconds(listed.age_s)
+        self.describe(machine)
+        self._book.machines[machine.name] = machine
+        log.info("%s is in the list", machine.name)
+        return machine
+
+    # Rentals
+
+    def order(self, kind: Kind, count: int, pool: bool) -> None:
+        """Rents machines: the request's name is durable before it is sent, and never used again."""
+        order = Order(self._next_name(), kind, count, pool, self._clock())
+        self.orders[order.name] = order
+        record = RentalRecord(kind.build, kind.zone, kind.spot, count, pool)
+        log.info("renting %s %s", count, kind)
+        self._writer.write(
+            rental_key(order.name), Rank.ASSIGN, lambda: to_store(record), lambda: self._ready.append(order)
+        )
+
+    def refused(self, kind: Kind) -> bool:
+        until = self._refused.get(kind)
+        return until is not None and self._clock() < until[0]
+
+    async def _rent(self, order: Order) -> None:
+        if not self._leads():
+            return
+        kind = order.kind
+        order.sent = True
+        try:
+            names = await self._cloud.rent(order.name, kind.build, kind.zone, kind.spot, order.count)
+        except NoCapacity:
+            self._refuse(kind)
+            self._over(order)
+            return
+        except Trouble as error:
+            log.info("rental: %s", error)
+            if self._clock() - order.since < seconds(20):
+                # The same name again: if it was carried out, the answer is the same.
+                self._ready.append(order)
+            else:
+                self._over(order)
+            return
+        now = self._clock()
+        if len(names) < order.count:
+            self._refuse(kind)
+        else:
+            self._refused.pop(kind, None)
+        for name in names:
+            if name in self._book.gone:
+                continue
+            machine = self._book.machines.get(name)
+            if machine is None:
+                machine = Machine(name, kind.build, kind.zone, kind.spot, MachineState.BOOTING, now)
+                self.describe(machine)
+                self._book.machines[name] = machine
+            machine.pool = order.pool
+        self._over(order)
+
+    def _refuse(self, kind: Kind) -> None:
+        _, pause = self._refused.get(kind, (None, REFUSED / 2))
+        pause = min(pause * 2, REFUSED_MOST)
+        log.info("no capacity for %s", kind)
+        self._refused[kind] = (self._clock() + pause, pause)
+
+    def _over(self, order: Order) -> None:
+        self.orders.pop(order.name, None)
+        self._writer.delete(rental_key(order.name))
+        self._changed()
+
+    # Ends
+
+    def give_up(self, machine: Machine, why: str) -> None:
+        if machine.state in (MachineState.DELETING, MachineState.GONE):
+            return
+        log.info("%s is deleted: %s", machine.name, why)
+        machine.move(MachineState.DELETING)
+
+    async def _delete(self, names: list[str]) -> None:
+        try:
+            await self._cloud.delete(names)
+        except (Trouble, NoCapacity) as error:
+            log.info("deletion: %s", error)
+            return
+        finally:
+            self._deleting.difference_update(names)
+        now = self._clock()
+        for name in names:
+            machine = self._book.machines.pop(name, None)
+            if machine is None:
+                continue
+            machine.move(MachineState.GONE)
+            self._book.drop_all(machine, now)
+            self._book.gone.add(name)
+            self._missing.pop(name, None)
+            self._writer.delete(machine_key(name))
+        self._changed()
+
+    def _judge(self) -> None:
+        """Each machine's silence, notice and health, against what it may still hold."""
+        now = self._clock()
+        for machine in list(self._book.machines.values()):
+            if machine.state is MachineState.DELETING:
+                self._expire(machine, now)
+                continue
+            if machine.state is MachineState.BOOTING:
+                kind = self.types.get(machine.build)
+                bound = seconds(kind.boot_s) * BOOTS + BOOT_SLACK if kind else seconds(300)
+                if now - machine.known_since > bound:
+                    self.give_up(machine, "has not come up")
+                continue
+            self._expire(machine, now)
+            if machine.recall_at is not None and now >= machine.recall_at - seconds(0.8):
+                self.give_up(machine, "taken back")
+            elif machine.suspect and not machine.holds:
+                self.give_up(machine, "fails tasks")
+            elif self._silence(machine, now) > self._lease + self._lag * 2:
+                self.give_up(machine, "silent")
+
+    def _silence(self, machine: Machine, now: timedelta) -> timedelta:
+        last = machine.reported_at
+        if last is None:
+            last = self._unsure_until - self._lease
+        return now - last
+
+    def _expire(self, machine: Machine, now: timedelta) -> None:
+        """Drops the holds of a machine whose lease has surely run out."""
+        if not machine.holds:
+            return
+        if machine.answered_at is None:
+            until = self._unsure_until
+        else:
+            until = machine.answered_at + at_least(self._lease) + seconds(0.5)
+            if machine.state is MachineState.UNSURE:
+                until = max(until, self._unsure_until)
+        if now > until:
+            log.info("the lease of %s has run out", machine.name)
+            machine.silent_sessions = machine.newest[0]
+            self._book.drop_all(machine, now)
+            self._changed()
+
--- /dev/null
+++ b/src/elmthread/intake/api.py
@@ -0,0 +1,132 @@
+"""The users' door on every node: reads requests, and takes them to whoever leads."""
+
+import logging
+from collections.abc import Awaitable, Callable
+from datetime import timedelta
+
+import msgspec
+
+from elmthread.common.clock import ZERO, Clock, seconds
+from elmthread.common.http import BadBody, Request, Response, again, decode
+from elmthread.intake.messages import JOB_ID, BadRequest, job_id_of, read_submission
+from elmthread.intake.service import Intake
+from elmthread.leadership.election import Election
+from elmthread.peers.link import NotReached, Peers
+from elmthread.peers.messages import Ask, Reply
+
+log = logging.getLogger(__name__)
+
+SOON = seconds(1)
+# Users wait 5 s for a submission and 2 s for a poll; the answer must be on its way before.
+ASK_TIME = {"submit": seconds(4), "withdraw": seconds(4), "status": seconds(1.5)}
+# A node that has been without a leader for this long stops asking for users.
+PATIENCE = seconds(20)
+
+Beat = Callable[[Request], Awaitable[Response]]
+
+
+class Api:
+    def __init__(
+        self,
+        node: str,
+        election: Election,
+        peers: Peers,
+        clock: Clock,
+        intake: Callable[[], Intake | None],
+        beat: Beat,
+    ) -> None:
+        self._node = node
+        self._election = election
+        self._peers = peers
+        self._clock = clock
+        self._intake = intake
+        self._beat = beat
+        self._served_at: timedelta = ZERO
+        self._ever = False
+
+    async def handle(self, request: Request) -> Response:
+        path, method = request.path, request.method
+        if path == "/agent/beat":
+            return await self._beat(request) if method == "POST" else _wrong_method()
+        if path == "/ready":
+            return self._ready() if method == "GET" else _wrong_method()
+        if path == "/submissions":
+            return await self._submit(request) if method == "POST" else _wrong_method()
+        parts = path.split("/")
+        if len(parts) == 3 and parts[1] == "submissions":
+            return await self._about(parts[2], "status") if method == "GET" else _wrong_method()
+        if len(parts) == 4 and parts[1] == "submissions" and parts[3] == "withdraw":
+            return await self._about(parts[2], "withdraw") if method == "POST" else _wrong_method()
+        return Response(404, {"error": "no such path"})
+
+    def _ready(self) -> Response:
+        leader = self._election.leader
+        now = self._clock()
+        if self._intake() is not None or (leader is not None and self._peers.reaches(leader)):
+            self._served_at = now
+            self._ever = True
+        if self._ever and now - self._served_at < PATIENCE:
+            return Response(200, {"ready": True})
+        return again(503, SOON, "no leader")
+
+    async def _submit(self, request: Request) -> Response:
+        try:
+            body = decode(request.body)
+            job_id = job_id_of(body)
+        except (BadBody, BadRequest) as error:
+            return Response(400, {"error": str(error)})
+        ask = Ask(0, "submit", job_id)
+        try:
+            ask.body = msgspec.to_builtins(read_submission(body))
+        except BadRequest as error:
+            ask.fault = str(error)
+        return await self._ask(ask)
+
+    async def _about(self, job_id: str, verb: str) -> Response:
+        if not JOB_ID.match(job_id):
+            return Response(404, {"error": "no such job"})
+        return await self._ask(Ask(0, verb, job_id))
+
+    async def _ask(self, ask: Ask) -> Response:
+        if self._intake() is not None:
+            return await self._here(ask)
+        leader = self._election.leader
+        if leader is None or leader == self._node:
+            return again(503, SOON, "no leader")
+        try:
+            reply = await self._peers.ask(leader, ask, ASK_TIME[ask.verb])
+        except NotReached:
+            return again(503, SOON, "the leader does not answer")
+        after = None if reply.retry_after_s is None else seconds(reply.retry_after_s)
+        return Response(reply.status, reply.body, after)
+
+    async def _here(self, ask: Ask) -> Response:
+        """Answers as the leader, with a view that is complete and a lease that surely holds."""
+        intake = self._intake()
+        if intake is None or not self._election.leads():
+            return again(503, SOON, "not leading")
+        if ask.verb == "submit":
+            job = None
+            if ask.body is not None:
+                try:
+                    job = read_submission(ask.body)
+                except BadRequest as error:
+                    ask.fault = str(error)
+            return await intake.submit(ask.job_id, job, ask.fault)
+        if ask.verb == "withdraw":
+            return await intake.withdraw(ask.job_id)
+        if ask.verb == "status":
+            return intake.status(ask.job_id)
+        return Response(400, {"error": "unknown request"})
+
+    async def answer(self, ask: Ask) -> Reply:
+        """A question that came over the peer link."""
+        response = await self._here(ask)
+        after = response.retry_after
+        return Reply(
+            ask.number, response.status, response.body, None if after is None else after.total_seconds()
+        )
+
+
+def _wrong_method() -> Response:
+    return Response(405, {"error": "wrong method"})
--- /dev/null
+++ b/src/elmthread/intake/messages.py
@@ -0,0 +1,98 @@
+"""What users send and are told, checked; wire words stay here."""
+
+import math
+import re
+from typing import Annotated, Any, Literal
+
+import msgspec
+
+JOB_ID = re.compile(r"run-[A-Za-z0-9_.-]{1,64}\Z")
+MOST_TASKS = 100_000
+
+Amount = Annotated[float, msgspec.Meta(ge=0.0, le=1e9)]
+Name = Annotated[str, msgspec.Meta(min_length=1, max_length=200)]
+
+
+class BadRequest(Exception):
+    """The body can't be a submission; says which field is wrong."""
+
+
+class Submission(
+    msgspec.Struct,
+    frozen=True,
+    omit_defaults=True,
+    rename={
+        "id": "name_id",
+        "job_class": "docket",
+        "team": "crew",
+        "priority": "urgency",
+        "tasks": "pieces",
+        "image": "kit",
+        "image_gb": "size_gb",
+        "types": "builds",
+        "zone": "yard",
+        "spread": "scatter",
+        "spot": "loaners",
+        "checkpoint_s": "snapshot_every_s",
+        "save_s": "snapshot_s",
+    },
+):
+    id: Name
+    job_class: Name
+    team: Name
+    form: Literal["batch"]
+    priority: Literal["production", "high", "normal", "best_effort"]
+    tasks: Annotated[int, msgspec.Meta(ge=1, le=MOST_TASKS)]
+    cpus: Annotated[float, msgspec.Meta(gt=0.0, le=1e6)]
+    cards: Amount
+    ram_gb: Amount
+    image: Name
+    image_gb: Amount
+    one_zone: bool
+    spread: bool
+    spot: bool
+    expected_s: Amount
+    checkpoint_s: Amount
+    save_s: Amount
+    types: list[Name] | None = None
+    zone: Name | None = None
+    due_s: Amount | None = None
+
+    @property
+    def saves(self) -> bool:
+        return self.checkpoint_s > 0
+
+
+_AMOUNTS = ("cpus", "cards", "ram_gb", "image_gb", "expected_s", "checkpoint_s", "save_s", "due_s")
+
+
+def job_id_of(body: Any) -> str:
+    """The id alone, so that a known job is answered before the rest is looked at."""
+    if not isinstance(body, dict):
+        raise BadRequest("not a map")
+    name = body.get("name_id")
+    if not isinstance(name, str) or not JOB_ID.match(name):
+        raise BadRequest("name_id: malformed")
+    return name
+
+
+def read_submission(body: Any) -> Submission:
+    job_id_of(body)
+    try:
+        job = msgspec.convert(body, Submission)
+    except (msgspec.ValidationError, TypeError, ValueError, OverflowError) as error:
+        raise BadRequest(str(error)) from error
+    for field in _AMOUNTS:
+        value = getattr(job, field)
+        if value is not None and not math.isfinite(value):
+            raise BadRequest(f"{field}: not a finite number")
+    if job.types is not None and len(job.types) > 100:
+        raise BadRequest("builds: too many")
+    return job
+
+
+def status(job_id: str, state: str, done: int | None = None, running: int | None = None) -> dict[str, Any]:
+    body: dict[str, Any] = {"name_id": job_id, "status": state}
+    if done is not None:
+        body |= {"done": done, "running": running}
+    return body
--- /dev/null
+++ b/src/elmthread/intake/service.py
@@ -0,0 +1,191 @@
+"""Users' requests, as the leader answers them: only from a complete view, only what is durable."""
+
+import asyncio
+import logging
+from collections.abc import Callable
+from datetime import timedelta
+from typing import Any
+
+from elmthread.common.clock import Clock, seconds
+from elmthread.common.http import Response, again
+from elmthread.intake import messages
+from elmthread.intake.messages import Submission
+from elmthread.leadership.election import Election
+from elmthread.ledger.records import done_key, done_record, job_key, job_record, to_store
+from elmthread.ledger.writer import Rank, Stopped, Writer
+from elmthread.placement.book import Book, HoldState, Job, JobState
+
+log = logging.getLogger(__name__)
+
+SOON = seconds(1)
+# A user gives up after 5 s; an answer must leave well before.
+DURABLE_TIME = seconds(3.5)
+# The store has not taken a change for this long: say so at once instead of waiting.
+FAILING = seconds(1)
+MOST_WAITING = 400
+
+
+class Intake:
+    def __init__(
+        self,
+        book: Book,
+        election: Election,
+        writer: Writer,
+        clock: Clock,
+        new_job: Callable[[Submission, timedelta], Job],
+        can_run: Callable[[Submission], str | None],
+        types_known: Callable[[], bool],
+        changed: Callable[[], None],
+    ) -> None:
+        self._book = book
+        self._election = election
+        self._writer = writer
+        self._clock = clock
+        self._new_job = new_job
+        self._can_run = can_run
+        self._types_known = types_known
+        self._changed = changed
+        # Submissions and withdrawals on their way to the store, by job.
+        self._storing: dict[str, asyncio.Task[None]] = {}
+
+    async def submit(self, job_id: str, job: Submission | None, fault: str | None) -> Response:
+        known = self._book.jobs.get(job_id)
+        if known is None:
+            if fault is not None or job is None:
+                return Response(400, {"error": fault or "malformed"})
+            if not self._types_known():
+                return again(503, SOON, "machine types not known yet")
+            reason = self._can_run(job)
+            if reason is not None:
+                return Response(422, {"error": reason})
+            busy = self._too_busy()
+            if busy is not None:
+                return busy
+            known = self._new_job(job, self._clock())
+            self._book.add_job(known)
+            self._store(known)
+            created = True
+        else:
+            created = False
+        if known.stored is None:
+            failed = await self._stored(known.id)
+            if failed is not None:
+                return failed
+            created = True
+        if not self._election.leads():
+            return again(503, SOON, "not leading")
+        return Response(201 if created else 200, self._describe(known))
+
+    def _too_busy(self) -> Response | None:
+        failing = self._writer.failing_since
+        if failing is not None and self._clock() - failing > FAILING:
+            return again(503, seconds(2), "the state service does not answer")
+        if len(self._storing) >= MOST_WAITING:
+            return again(429, seconds(2), "too many submissions at once")
+        return None
+
+    def _record(self, job: Job) -> Callable[[], Any]:
+        """Makes the job's record when it is written, and notes which state went into it."""
+
+        def make() -> Any:
+            job.writing = job.state
+            return to_store(job_record(job))
+
+        return make
+
+    def _store(self, job: Job) -> None:
+        def durable() -> None:
+            job.stored = job.writing
+            self._changed()
+
+        async def run() -> None:
+            await self._writer.written(job_key(job.id), Rank.USER, self._record(job), durable)
+
+        task = asyncio.get_running_loop().create_task(run())
+        self._storing[job.id] = task
+
+        def over(done: asyncio.Task[None]) -> None:
+            if self._storing.get(job.id) is done:
+                del self._storing[job.id]
+            if not done.cancelled():
+                done.exception()
+
+        task.add_done_callback(over)
+
+    async def _stored(self, job_id: str) -> Response | None:
+        """None once the job's record is durable; else what to tell the user now."""
+        task = self._storing.get(job_id)
+        if task is None:
+            return None
+        try:
+            async with asyncio.timeout(DURABLE_TIME.total_seconds()):
+                await asyncio.shield(task)
+        except (TimeoutError, Stopped):
+            return again(503, SOON, "not durable yet")
+        return None
+
+    def status(self, job_id: str) -> Response:
+        job = self._book.jobs.get(job_id)
+        if job is None:
+            return Response(404, {"error": "no such job"})
+        if job.stored is None:
+            # Submitted, but not durable: neither known nor unknown.
+            return again(503, SOON, "not durable yet")
+        return Response(200, self._describe(job))
+
+    async def withdraw(self, job_id: str) -> Response:
+        job = self._book.jobs.get(job_id)
+        if job is None:
+            return Response(404, {"error": "no such job"})
+        if job.stored is None:
+            failed = await self._stored(job_id)
+            if failed is not None:
+                return failed
+        if job.open:
+            busy = self._too_busy()
+            if busy is not None:
+                return busy
+            self._book.close_job(job, JobState.CANCELLED)
+            self._store(job)
+            self._changed()
+        if job.stored is not job.state:
+            if job_id not in self._storing:
+                self._store(job)
+            failed = await self._stored(job_id)
+            if failed is not None:
+                return failed
+            if job.stored is not job.state:
+                return again(503, SOON, "not durable yet")
+        if not self._election.leads():
+            return again(503, SOON, "not leading")
+        assert job.stored is not None
+        return Response(200, messages.status(job.id, job.stored.value))
+
+    def _describe(self, job: Job) -> dict[str, Any]:
+        """The job as the store has it; done and running counts are for display."""
+        stored = job.stored
+        if stored is JobState.OPEN or stored is None:
+            running = sum(1 for hold in job.live.values() if hold.state is HoldState.RUNNING)
+            return messages.status(job.id, "running" if running else "queued", job.count_done, running)
+        done = job.total if stored is JobState.DONE else job.count_done
+        return messages.status(job.id, stored.value, done, 0)
+
+    def finished(self, job: Job, task: int, durable: Callable[[], None]) -> None:
+        """A task is done: recorded before the worker may forget it, and before users hear."""
+        if job.count_done == job.total:
+            self._book.close_job(job, JobState.DONE)
+
+            def stored() -> None:
+                job.stored = job.writing
+                durable()
+                for chunk in range((job.total + job.chunk - 1) // job.chunk):
+                    self._writer.delete(done_key(job.id, chunk))
+
+            self._writer.write(job_key(job.id), Rank.DONE, self._record(job), stored)
+            return
+        chunk = task // job.chunk
+        self._writer.write(
+            done_key(job.id, chunk), Rank.DONE, lambda: to_store(done_record(job, chunk)), durable
+        )
+
+
--- /dev/null
+++ b/src/elmthread/leadership/election.py
@@ -0,0 +1,214 @@
+"""The leader's lease: won by one transaction, renewed, and given up in time.
+
+The leader key hangs on a grant of the state service. A grant never ends early, so this
+node may lead until `ttl` after it SENT the last renewal that was answered, less drift.
+After that it may for a bounded while go on answering workers (HOLDING), to keep their
+tasks alive through an outage of the state service. Every new leader waits that while out
+before it takes a machine that has not reported for empty.
+"""
+
+import asyncio
+import logging
+import random
+import secrets
+from collections.abc import Callable
+from datetime import timedelta
+from enum import Enum, auto
+
+import msgspec
+
+from elmthread.common.clock import ZERO, Clock, at_least, at_most, seconds
+from elmthread.common.states import step
+from elmthread.ledger import messages
+from elmthread.ledger.client import Expired, Lost, StateClient, Unavailable, Unsure
+from elmthread.ledger.records import LEADER
+
+log = logging.getLogger(__name__)
+
+# Time between a check of the lease and the moment an answer leaves.
+MARGIN = seconds(0.15)
+RETRY = seconds(0.3)
+WATCH = seconds(10)
+
+
+class Role(Enum):
+    FOLLOWER = auto()
+    LEADING = auto()
+    HOLDING = auto()
+
+
+ROLE_STEPS = {
+    Role.FOLLOWER: frozenset({Role.LEADING}),
+    Role.LEADING: frozenset({Role.HOLDING, Role.FOLLOWER}),
+    Role.HOLDING: frozenset({Role.LEADING, Role.FOLLOWER}),
+}
+
+
+class LeaderRecord(msgspec.Struct):
+    node: str
+    nonce: str
+    hold: int
+
+
+class Election:
+    def __init__(
+        self,
+        node: str,
+        client: StateClient,
+        clock: Clock,
+        ttl: timedelta,
+        holding: timedelta,
+        won: Callable[[int], None],
+        lost: Callable[[], None],
+    ) -> None:
+        self._node = node
+        self._client = client
+        self._clock = clock
+        self.ttl = ttl
+        self.holding = holding
+        self._won = won
+        self._lost = lost
+        self.role = Role.FOLLOWER
+        self.token = 0
+        # The newest leadership heard of, by the store, a peer or a worker.
+        self.seen_token = 0
+        self.leader: str | None = None
+        self._sure_until = ZERO
+        self._given_up = asyncio.Event()
+
+    def _move(self, new: Role) -> None:
+        self.role = step(self._node, ROLE_STEPS, self.role, new)
+
+    def leads(self) -> bool:
+        """The lease surely holds now: this node may write, start and answer users."""
+        if self.role is Role.LEADING and self._clock() >= self._sure_until:
+            self._move(Role.HOLDING)
+        return self.role is Role.LEADING
+
+    def answers_workers(self) -> bool:
+        if self.leads():
+            return True
+        if self.role is Role.HOLDING and self._clock() >= self._sure_until + at_most(self.holding):
+            self.step_down("held for as long as allowed")
+        return self.role is Role.HOLDING
+
+    def unaccounted_for(self, lease: timedelta) -> timedelta:
+        """How long after winning a silent machine may still keep what an earlier leader gave it."""
+        return at_least(self.holding + lease) + seconds(1)
+
+    def hear(self, token: int, leader: str | None) -> None:
+        """A peer or a worker tells of a leadership."""
+        if token <= self.seen_token:
+            if token == self.seen_token and leader is not None:
+                self.leader = leader
+            return
+        self.seen_token = token
+        self.leader = leader
+        if self.role is not Role.FOLLOWER and token > self.token:
+            self.step_down("a newer leader is known")
+
+    def step_down(self, why: str) -> None:
+        if self.role is Role.FOLLOWER:
+            return
+        log.info("stepping down: %s", why)
+        self._move(Role.FOLLOWER)
+        if self.leader == self._node:
+            self.leader = None
+        self._given_up.set()
+        self._lost()
+
+    async def run(self) -> None:
+        while True:
+            try:
+                await self._round()
+            except (Unavailable, Unsure, Expired, Lost) as error:
+                log.debug("election: %s", error)
+                await asyncio.sleep(RETRY.total_seconds())
+
+    async def _round(self) -> None:
+        page = await self._client.page(LEADER, None, 10)
+        item = next((item for item in page.items if item.key == LEADER), None)
+        if item is None:
+            self.leader = None
+            # A short random wait: two nodes that try at once both spend a change.
+            await asyncio.sleep(random.uniform(0.0, 0.05))
+            await self._stand()
+            return
+        record = _record(item)
+        if record.node == self._node:
+            # Of an earlier process of this node: dead, since a node runs one process at a
+            # time. Its lease need not be waited out.
+            log.info("revoking the lease of an earlier process of this node")
+            await self._client.revoke(record.hold)
+            return
+        self.hear(item.stamp, record.node)
+        revision = page.revision
+        while True:
+            news = await self._client.watch(LEADER, revision, WATCH)
+            if news.news:
+                return
+            revision = max(revision, news.revision)
+
+    async def _stand(self) -> None:
+        sent = self._clock()
+        hold = await self._client.grant(self.ttl)
+        nonce = secrets.token_hex(8)
+        value = msgspec.to_builtins(LeaderRecord(self._node, nonce, hold))
+        try:
+            stamp = await self._client.commit([messages.guard(LEADER, 0)], [messages.put(LEADER, value, hold)])
+        except Lost:
+            await self._client.revoke(hold)
+            return
+        except Unsure:
+            # It may have been applied: if so, the key tells, and the next round revokes it.
+            log.info("standing for leader: outcome unknown")
+            return
+        if stamp < self.seen_token:
+            return
+        self._sure_until = sent + at_most(self.ttl) - MARGIN
+        self.token = self.seen_token = stamp
+        self.leader = self._node
+        self._given_up.clear()
+        self._move(Role.LEADING)
+        log.info("leading with token %s", stamp)
+        self._won(stamp)
+        await self._keep(hold)
+
+    async def _keep(self, hold: int) -> None:
+        """Renews until leadership is given up."""
+        every = self.ttl / 5
+        while self.answers_workers():
+            pause = every
+            sent = self._clock()
+            try:
+                await self._client.extend(hold, timeout=self.ttl / 3)
+            except Expired:
+                self.step_down("the lease has ended")
+                break
+            except (Unavailable, Unsure) as error:
+                log.debug("renewal: %s", error)
+                pause = RETRY
+            else:
+                if self.role is Role.FOLLOWER:
+                    break
+                # Answered: the grant has not ended since, so nobody else has led meanwhile.
+                self._sure_until = max(self._sure_until, sent + at_most(self.ttl) - MARGIN)
+                if self.role is Role.HOLDING and self._clock() < self._sure_until:
+                    self._move(Role.LEADING)
+            try:
+                async with asyncio.timeout(pause.total_seconds()):
+                    await self._given_up.wait()
+            except TimeoutError:
+                pass
+        self.step_down("no longer answering")
+        try:
+            await self._client.revoke(hold)
+        except (Unavailable, Unsure):
+            log.debug("the old lease could not be given back")
+
+
+def _record(item: messages.Item) -> LeaderRecord:
+    try:
+        return msgspec.convert(item.value, LeaderRecord)
+    except msgspec.ValidationError as error:
+        raise Unsure(f"leader key: {error}") from error
--- /dev/null
+++ b/src/elmthread/ledger/client.py
@@ -0,0 +1,121 @@
+"""The state service met through its protocol: reads, transactions, grants and watches."""
+
+import logging
+from dataclasses import dataclass
+from datetime import timedelta
+from typing import Any, TypeVar
+from urllib.parse import quote
+
+import msgspec
+
+from elmthread.common.clock import Clock, seconds
+from elmthread.common.http import Answer, Caller, NoAnswer
+from elmthread.ledger import messages
+from elmthread.ledger.pacing import Bucket
+
+log = logging.getLogger(__name__)
+
+T = TypeVar("T", bound=msgspec.Struct)
+
+READ_TIME = seconds(2)
+
+
+class Unavailable(Exception):
+    """The request was surely not executed (503, 429, or refused by our own pacing)."""
+
+
+class Unsure(Exception):
+    """The request may have been executed, or may still be."""
+
+
+class Expired(Exception):
+    """The grant is gone, or a watch asked for changes that are no longer kept."""
+
+
+@dataclass
+class Lost(Exception):
+    """A guard failed; names the keys."""
+
+    failed: list[str]
+
+
+class StateClient:
+    def __init__(self, caller: Caller, requests: Bucket) -> None:
+        self._caller = caller
+        self._requests = requests
+
+    async def get(self, key: str) -> messages.Item | None:
+        answer = await self._call("GET", f"/store/{key}")
+        if answer.status == 404:
+            return None
+        return _read(answer, messages.Item)
+
+    async def page(self, prefix: str, after: str | None, most: int) -> messages.Page:
+        since = "" if after is None else f"&since={quote(after, safe='/')}"
+        answer = await self._call("GET", f"/store?starts={quote(prefix, safe='/')}{since}&most={most}")
+        return _read(answer, messages.Page)
+
+    async def commit(
+        self, guards: list[dict[str, Any]], then: list[dict[str, Any]], timeout: timedelta = READ_TIME
+    ) -> int:
+        answer = await self._call("POST", "/txn", {"guards": guards, "then": then}, timeout)
+        if answer.status == 409:
+            raise Lost(_read(answer, messages.Conflict, 409).failed)
+        if answer.status == 400:
+            raise Expired(str(answer.body))
+        return _read(answer, messages.Revision).revision
+
+    async def grant(self, ttl: timedelta) -> int:
+        answer = await self._call("POST", "/grants", {"ttl_ms": round(ttl.total_seconds() * 1000)})
+        return _read(answer, messages.Grant).hold
+
+    async def extend(self, hold: int, timeout: timedelta) -> None:
+        # Renewals skip the pacing: room for them is kept by everything else.
+        answer = await self._raw("POST", f"/grants/{hold}/extend", {}, timeout)
+        if answer.status == 404:
+            raise Expired(f"grant {hold}")
+        _known(answer, 200)
+
+    async def revoke(self, hold: int) -> None:
+        answer = await self._raw("DELETE", f"/grants/{hold}", None, READ_TIME)
+        if answer.status != 404:
+            _known(answer, 200)
+
+    async def watch(self, prefix: str, since: int, block: timedelta) -> messages.News:
+        ms = round(block.total_seconds() * 1000)
+        path = f"/watch?starts={prefix}&since={since}&block_ms={ms}"
+        answer = await self._call("GET", path, None, block + READ_TIME)
+        if answer.status == 410:
+            raise Expired("watch")
+        return _read(answer, messages.News)
+
+    async def _call(self, method: str, path: str, body: Any = None, timeout: timedelta = READ_TIME) -> Answer:
+        if not self._requests.take():
+            raise Unavailable("our own pacing")
+        return await self._raw(method, path, body, timeout)
+
+    async def _raw(self, method: str, path: str, body: Any, timeout: timedelta) -> Answer:
+        try:
+            answer = await self._caller.call(method, path, body, timeout=timeout)
+        except NoAnswer as error:
+            raise Unsure(str(error)) from error
+        if answer.status == 429:
+            self._requests.drain()
+        if answer.status in (429, 503):
+            raise Unavailable(f"{method} {path.split('?')[0]}: {answer.status}")
+        return answer
+
+
+def _known(answer: Answer, *statuses: int) -> None:
+    if answer.status not in statuses:
+        log.error("state service: unexpected status %s: %s", answer.status, answer.body)
+        raise Unsure(f"status {answer.status}")
+
+
+def _read(answer: Answer, kind: type[T], status: int = 200) -> T:
+    _known(answer, status)
+    try:
+        return msgspec.convert(answer.body, kind)
+    except msgspec.ValidationError as error:
+        log.error("state service: malformed answer: %s", error)
+        raise Unsure(str(error)) from error
--- /dev/null
+++ b/src/elmthread/peers/link.py
@@ -0,0 +1,215 @@
+"""Links between controllers: who leads is spread, and users' requests go to the leader.
+
+Each node keeps one outgoing connection to each other node. Questions go out on it and
+answers come back on it; what a node hears on an incoming one it answers there.
+"""
+
+import asyncio
+import logging
+from collections.abc import Awaitable, Callable
+from datetime import timedelta
+from enum import Enum, auto
+
+import msgspec
+import pynetstring
+
+from elmthread.common.clock import seconds
+from elmthread.common.states import step
+from elmthread.peers.messages import Ask, Lead, Message, Reply, decode, encode
+
+log = logging.getLogger(__name__)
+
+MAX_FRAME = 256 * 1024
+CONNECT_TIME = seconds(1)
+REDIAL = seconds(0.5)
+MOST_ASKS = 256
+SAY_EVERY = seconds(1)
+# A link on which the other side has said nothing for this long is taken for dead.
+SILENCE = seconds(4)
+
+
+class NotReached(Exception):
+    """The other node did not answer; it may have acted all the same."""
+
+
+class LinkState(Enum):
+    DOWN = auto()
+    DIALLING = auto()
+    UP = auto()
+
+
+LINK_STEPS = {
+    LinkState.DOWN: frozenset({LinkState.DIALLING}),
+    LinkState.DIALLING: frozenset({LinkState.UP, LinkState.DOWN}),
+    LinkState.UP: frozenset({LinkState.DOWN}),
+}
+
+Answerer = Callable[[Ask], Awaitable[Reply]]
+Hear = Callable[[Lead], None]
+Say = Callable[[], Lead]
+
+
+async def _frames(reader: asyncio.StreamReader, got: Callable[[Message], None], limit: timedelta) -> None:
+    """Hands each message on until the other side closes, sends rubbish or falls silent."""
+    decoder = pynetstring.Decoder(MAX_FRAME)
+    while True:
+        async with asyncio.timeout(limit.total_seconds()):
+            data = await reader.read(65536)
+        if not data:
+            return
+        for frame in decoder.feed(data):
+            try:
+                message = decode(frame)
+            except msgspec.MsgspecError as error:
+                log.error("peer message dropped: %s", error)
+                continue
+            got(message)
+
+
+class Link:
+    """Our connection to one other node."""
+
+    def __init__(self, node: str, host: str, port: int, hear: Hear, say: Say) -> None:
+        self.node = node
+        self._host, self._port = host, port
+        self._hear = hear
+        self._say = say
+        self._writer: asyncio.StreamWriter | None = None
+        self._asked: dict[int, asyncio.Future[Reply]] = {}
+        self._number = 0
+        self.state = LinkState.DOWN
+
+    def _move(self, new: LinkState) -> None:
+        self.state = step(f"link to {self.node}", LINK_STEPS, self.state, new)
+
+    async def run(self) -> None:
+        while True:
+            self._move(LinkState.DIALLING)
+            try:
+                async with asyncio.timeout(CONNECT_TIME.total_seconds()):
+                    reader, writer = await asyncio.open_connection(self._host, self._port)
+            except (OSError, TimeoutError):
+                self._move(LinkState.DOWN)
+                await asyncio.sleep(REDIAL.total_seconds())
+                continue
+            self._writer = writer
+            self._move(LinkState.UP)
+            self.tell()
+            try:
+                await _frames(reader, self._got, SILENCE)
+            except (OSError, TimeoutError, pynetstring.ParseError) as error:
+                log.info("link to %s: %s", self.node, error or type(error).__name__)
+            finally:
+                self._writer = None
+                self._move(LinkState.DOWN)
+                writer.transport.abort()
+                for future in self._asked.values():
+                    if not future.done():
+                        future.set_exception(NotReached(self.node))
+                self._asked.clear()
+            await asyncio.sleep(REDIAL.total_seconds())
+
+    def tell(self) -> None:
+        if self._writer is not None:
+            self._writer.write(pynetstring.encode(encode(self._say())))
+
+    def _got(self, message: Message) -> None:
+        if isinstance(message, Reply):
+            future = self._asked.pop(message.number, None)
+            if future is not None and not future.done():
+                future.set_result(message)
+        elif isinstance(message, Lead):
+            self._hear(message)
+
+    async def ask(self, ask: Ask, timeout: timedelta) -> Reply:
+        if self._writer is None or len(self._asked) >= MOST_ASKS:
+            raise NotReached(self.node)
+        self._number += 1
+        ask.number = self._number
+        future: asyncio.Future[Reply] = asyncio.get_running_loop().create_future()
+        self._asked[ask.number] = future
+        self._writer.write(pynetstring.encode(encode(ask)))
+        try:
+            async with asyncio.timeout(timeout.total_seconds()):
+                return await future
+        except TimeoutError:
+            raise NotReached(self.node) from None
+        finally:
+            self._asked.pop(ask.number, None)
+
+
+class Peers:
+    """All links of this node, and the side that listens."""
+
+    def __init__(self, links: dict[str, tuple[str, int]], answer: Answerer, hear: Hear, say: Say) -> None:
+        self._answer = answer
+        self._hear = hear
+        self._say = say
+        self._links = {node: Link(node, host, port, hear, say) for node, (host, port) in links.items()}
+        self._busy: set[asyncio.Task[None]] = set()
+        self._in: set[asyncio.StreamWriter] = set()
+        self._server: asyncio.Server | None = None
+
+    def reaches(self, node: str) -> bool:
+        link = self._links.get(node)
+        return link is not None and link.state is LinkState.UP
+
+    async def ask(self, node: str, ask: Ask, timeout: timedelta) -> Reply:
+        link = self._links.get(node)
+        if link is None:
+            raise NotReached(node)
+        return await link.ask(ask, timeout)
+
+    def tell(self) -> None:
+        """Says at once who leads: a change of leader must not wait for the next round."""
+        for link in self._links.values():
+            link.tell()
+        frame = pynetstring.encode(encode(self._say()))
+        for writer in self._in:
+            writer.write(frame)
+
+    async def run(self, host: str, port: int) -> None:
+        self._server = await asyncio.start_server(self._serve, host, port)
+        async with asyncio.TaskGroup() as group:
+            for link in self._links.values():
+                group.create_task(link.run())
+            group.create_task(self._speak())
+
+    async def _speak(self) -> None:
+        while True:
+            self.tell()
+            await asyncio.sleep(SAY_EVERY.total_seconds())
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        def got(message: Message) -> None:
+            if isinstance(message, Lead):
+                self._hear(message)
+            elif isinstance(message, Ask):
+                if len(self._busy) >= MOST_ASKS:
+                    self._send(writer, Reply(message.number, 503, {"error": "busy"}, 1.0))
+                    return
+                task = asyncio.get_running_loop().create_task(self._reply(message, writer))
+                self._busy.add(task)
+                task.add_done_callback(self._busy.discard)
+
+        self._in.add(writer)
+        try:
+            await _frames(reader, got, seconds(60))
+        except (OSError, TimeoutError, pynetstring.ParseError) as error:
+            log.info("incoming link: %s", error or type(error).__name__)
+        finally:
+            self._in.discard(writer)
+            writer.transport.abort()
+
+    async def _reply(self, ask: Ask, writer: asyncio.StreamWriter) -> None:
+        try:
+            reply = await self._answer(ask)
+        except Exception:
+            log.exception("while answering a peer")
+            reply = Reply(ask.number, 503, {"error": "internal error"}, 1.0)
+        reply.number = ask.number
+        self._send(writer, reply)
+
+    def _send(self, writer: asyncio.StreamWriter, reply: Reply) -> None:
+        if not writer.is_closing():
+            writer.write(pynetstring.encode(encode(reply)))
--- /dev/null
+++ b/src/elmthread/peers/messages.py
@@ -0,0 +1,36 @@
+"""What controllers say to one another: netstrings, each a JSON object with a `kind`."""
+
+from typing import Any
+
+import msgspec
+
+
+class Lead(msgspec.Struct, tag_field="kind", tag="lead"):
+    """The sender says who leads, as far as it knows, and by which token."""
+
+    leader: str | None
+    token: int
+
+
+class Ask(msgspec.Struct, tag_field="kind", tag="ask"):
+    """A user's request, parsed by the node that took it."""
+
+    number: int
+    verb: str
+    job_id: str
+    body: dict[str, Any] | None = None
+    # Why the body is no submission; the leader says so only if it does not know the job.
+    fault: str | None = None
+
+
+class Reply(msgspec.Struct, tag_field="kind", tag="reply"):
+    number: int
+    status: int
+    body: dict[str, Any] | None = None
+    retry_after_s: float | None = None
+
+
+Message = Lead | Ask | Reply
+
+encode = msgspec.json.Encoder().encode
+decode = msgspec.json.Decoder(Message).decode
--- /dev/null
+++ b/src/elmthread/placement/book.py
@@ -0,0 +1,281 @@
+"""The leader's view: jobs, machines, and which machine may hold which task.
+
+A hold is a claim that a task may be on a machine. Holds are made before a start can be
+sent and dropped only on proof that the task is not there, so what is counted here is never
+less than what really runs. Quota, zones and the one-copy rule are all judged by holds.
+"""
+
+from collections import deque
+from collections.abc import Iterator
+from datetime import datetime, timedelta
+from enum import Enum, auto
+
+from elmthread.common.clock import ZERO
+from elmthread.common.states import step
+from elmthread.intake.messages import Submission
+
+
+class JobState(Enum):
+    OPEN = "open"
+    DONE = "done"
+    CANCELLED = "cancelled"
+
+
+JOB_STEPS = {
+    JobState.OPEN: frozenset({JobState.DONE, JobState.CANCELLED}),
+    JobState.DONE: frozenset[JobState](),
+    JobState.CANCELLED: frozenset[JobState](),
+}
+
+RANKS = {"production": 0, "high": 1, "normal": 2, "best_effort": 3}
+
+
+class Job:
+    """A job and its tasks; what is not done, not held and open waits in `pending`."""
+
+    __slots__ = (
+        "backoff", "chunk", "count_done", "deadline", "done", "errors", "held", "id", "live", "pending", "rank",
+        "retry_at", "since", "spec", "state", "stored", "submitted", "total", "urgent", "writing", "zones",
+    )
+
+    def __init__(
+        self,
+        spec: Submission,
+        submitted: datetime,
+        since: timedelta,
+        deadline: timedelta,
+        urgent: bool,
+        chunk: int,
+    ) -> None:
+        self.id = spec.id
+        self.submitted = submitted
+        self.spec = spec
+        self.total = spec.tasks
+        self.since = since
+        self.deadline = deadline
+        self.urgent = urgent
+        self.rank = RANKS[spec.priority]
+        self.chunk = chunk
+        self.state = JobState.OPEN
+        # The state as the store has it, None until the job is durable: only this may be told.
+        self.stored: JobState | None = None
+        # The state in the record that is on its way to the store.
+        self.writing = JobState.OPEN
+        self.done = bytearray((spec.tasks + 7) // 8)
+        self.count_done = 0
+        self.pending: deque[int] = deque(range(spec.tasks))
+        self.held: dict[int, int] = {}
+        self.live: dict[int, Hold] = {}
+        self.zones: dict[str, int] = {}
+        self.errors: set[str] = set()
+        self.retry_at = ZERO
+        self.backoff = ZERO
+
+    def move(self, new: JobState) -> None:
+        self.state = step(self.id, JOB_STEPS, self.state, new)
+        if new is not JobState.OPEN:
+            self.pending.clear()
+
+    def is_done(self, task: int) -> bool:
+        return bool(self.done[task >> 3] & (1 << (task & 7)))
+
+    def set_done(self, task: int) -> bool:
+        """True if the task was not done before."""
+        if not 0 <= task < self.total or self.is_done(task):
+            return False
+        self.done[task >> 3] |= 1 << (task & 7)
+        self.count_done += 1
+        return True
+
+    def refill(self) -> None:
+        """Finds the waiting tasks anew, after loading."""
+        self.pending = deque(
+            task for task in range(self.total) if task not in self.held and not self.is_done(task)
+        )
+
+    @property
+    def open(self) -> bool:
+        return self.state is JobState.OPEN
+
+
+class HoldState(Enum):
+    PLANNED = auto()  # not yet durable: must not be sent
+    READY = auto()  # durable: goes out with each report's answer until it is seen
+    UNSEEN = auto()  # from the store, of an earlier leader: may be there
+    FETCHING = auto()
+    RUNNING = auto()
+    SAVING = auto()
+
+
+SEEN = frozenset({HoldState.FETCHING, HoldState.RUNNING, HoldState.SAVING})
+HOLD_STEPS = {
+    HoldState.PLANNED: frozenset({HoldState.READY}),
+    HoldState.READY: SEEN,
+    HoldState.UNSEEN: SEEN,
+    HoldState.FETCHING: SEEN,
+    HoldState.RUNNING: SEEN,
+    HoldState.SAVING: SEEN,
+}
+
+
+class Stop(Enum):
+    SAVE = auto()
+    KILL = auto()
+
+
+class Hold:
+    __slots__ = ("attempt", "job", "machine", "placed_at", "sent", "started_at", "state", "stop", "task")
+
+    def __init__(
+        self, job: Job, task: int, attempt: int, machine: "Machine", state: HoldState, now: timedelta
+    ) -> None:
+        self.job = job
+        self.task = task
+        self.attempt = attempt
+        self.machine = machine
+        self.state = state
+        self.stop: Stop | None = None
+        self.sent = False
+        self.placed_at = now
+        self.started_at: timedelta | None = None
+
+    def move(self, new: HoldState) -> None:
+        self.state = step(f"{self.job.id}/{self.task}", HOLD_STEPS, self.state, new)
+
+
+class MachineState(Enum):
+    BOOTING = auto()  # rented, has not reported yet
+    UNSURE = auto()  # may hold what the store says; has not reported to this token
+    UP = auto()
+    DRAINING = auto()  # takes nothing new; goes back when empty
+    DELETING = auto()  # its deletion is asked for until it is answered
+    GONE = auto()
+
+
+MACHINE_STEPS = {
+    MachineState.BOOTING: frozenset({MachineState.UP, MachineState.DELETING}),
+    MachineState.UNSURE: frozenset({MachineState.UP, MachineState.DRAINING, MachineState.DELETING}),
+    MachineState.UP: frozenset({MachineState.DRAINING, MachineState.DELETING}),
+    MachineState.DRAINING: frozenset({MachineState.DELETING}),
+    MachineState.DELETING: frozenset({MachineState.GONE}),
+    MachineState.GONE: frozenset[MachineState](),
+}
+
+
+class Machine:
+    """One rented machine: what it is, what it may hold, and what was last heard of it."""
+
+    __slots__ = (
+        "address", "answered_at", "build", "cards", "cards_used", "cpus", "cpus_used", "empty_since", "failures",
+        "fetch_rate", "holds", "images", "known_since", "listed", "name", "newest", "pool", "price", "ram", "ram_used",
+        "recall_at", "reported_at", "silent_sessions", "spot", "state", "suspect", "to_reap", "was_listed", "zone",
+        "successes",
+    )
+
+    def __init__(self, name: str, build: str, zone: str, spot: bool, state: MachineState, now: timedelta) -> None:
+        self.name = name
+        self.build = build
+        self.zone = zone
+        self.spot = spot
+        self.state = state
+        self.address = ""
+        self.cpus = self.cards = self.ram = 0.0
+        self.cpus_used = self.cards_used = self.ram_used = 0.0
+        self.fetch_rate = 1.0
+        self.price = 0.0
+        self.holds: dict[int, Hold] = {}
+        self.newest = (0, 0)
+        self.silent_sessions = 0
+        self.reported_at: timedelta | None = None
+        self.answered_at: timedelta | None = None
+        self.known_since = now
+        self.empty_since = now
+        self.recall_at: timedelta | None = None
+        self.images: dict[str, float] = {}
+        self.pool = False
+        self.listed = ""
+        self.was_listed = False
+        self.failures: dict[str, int] = {}
+        self.successes = 0
+        self.suspect = False
+        # (job, task, attempt) that exited with done and may be forgotten once that is durable.
+        self.to_reap: dict[int, tuple[str, int]] = {}
+
+    def move(self, new: MachineState) -> None:
+        self.state = step(self.name, MACHINE_STEPS, self.state, new)
+
+    @property
+    def open(self) -> bool:
+        return self.state is MachineState.UP and self.recall_at is None and not self.suspect
+
+    @property
+    def free(self) -> float:
+        return self.cpus - self.cpus_used
+
+
+class Book:
+    """All jobs and machines, and the counts that the rules are judged by."""
+
+    def __init__(self, most_holds: int) -> None:
+        self.jobs: dict[str, Job] = {}
+        self.open_jobs: dict[str, Job] = {}
+        self.machines: dict[str, Machine] = {}
+        self.gone: set[str] = set()
+        self.cpus_of: dict[str, float] = {}
+        self.cards_of: dict[str, float] = {}
+        # More holds than this on one machine would overflow its record in the store.
+        self.most_holds = most_holds
+
+    def add_job(self, job: Job) -> None:
+        self.jobs[job.id] = job
+        if job.open:
+            self.open_jobs[job.id] = job
+
+    def close_job(self, job: Job, state: JobState) -> None:
+        job.move(state)
+        self.open_jobs.pop(job.id, None)
+
+    def hold(
+        self, machine: Machine, job: Job, task: int, attempt: int, state: HoldState, now: timedelta
+    ) -> Hold:
+        hold = Hold(job, task, attempt, machine, state, now)
+        machine.holds[attempt] = hold
+        spec = job.spec
+        machine.cpus_used += spec.cpus
+        machine.cards_used += spec.cards
+        machine.ram_used += spec.ram_gb
+        self.cpus_of[spec.team] = self.cpus_of.get(spec.team, 0.0) + spec.cpus
+        self.cards_of[spec.team] = self.cards_of.get(spec.team, 0.0) + spec.cards
+        job.held[task] = job.held.get(task, 0) + 1
+        job.live[attempt] = hold
+        job.zones[machine.zone] = job.zones.get(machine.zone, 0) + 1
+        return hold
+
+    def drop(self, hold: Hold, now: timedelta) -> None:
+        """The task is surely not on the machine; if nothing else holds it, it waits again."""
+        machine, job, spec = hold.machine, hold.job, hold.job.spec
+        del machine.holds[hold.attempt]
+        machine.cpus_used -= spec.cpus
+        machine.cards_used -= spec.cards
+        machine.ram_used -= spec.ram_gb
+        if not machine.holds:
+            machine.cpus_used = machine.cards_used = machine.ram_used = 0.0
+            machine.empty_since = now
+        self.cpus_of[spec.team] -= spec.cpus
+        self.cards_of[spec.team] -= spec.cards
+        del job.live[hold.attempt]
+        job.zones[machine.zone] -= 1
+        if not job.zones[machine.zone]:
+            del job.zones[machine.zone]
+        job.held[hold.task] -= 1
+        if not job.held[hold.task]:
+            del job.held[hold.task]
+            if job.open and not job.is_done(hold.task):
+                job.pending.appendleft(hold.task)
+
+    def drop_all(self, machine: Machine, now: timedelta) -> None:
+        for hold in list(machine.holds.values()):
+            self.drop(hold, now)
+
+    def up(self) -> Iterator[Machine]:
+        return (machine for machine in self.machines.values() if machine.state is MachineState.UP)
--- /dev/null
+++ b/src/elmthread/settings/platform.py
@@ -0,0 +1,182 @@
+"""The file that the platform hands over: its fields, checked; unknown ones are ignored."""
+
+import math
+import tomllib
+from datetime import timedelta
+from pathlib import Path
+
+import msgspec
+
+from elmthread.common.clock import seconds
+
+
+class BadSettings(Exception):
+    """One clear line naming the field that is wrong."""
+
+
+class Other(msgspec.Struct, rename={"node": "node_name", "zone": "site"}):
+    node: str
+    zone: str
+    address: str
+
+
+class Endpoints(msgspec.Struct):
+    cloud: str
+    state: str
+
+
+class Team(msgspec.Struct, rename={"cards": "gpus", "cards_max": "gpus_max"}):
+    """Guarantee and limit of a team; 0 means that there is none."""
+
+    name: str
+    cpus: float = 0.0
+    cpus_max: float = 0.0
+    cards: float = 0.0
+    cards_max: float = 0.0
+
+    @property
+    def cpu_limit(self) -> float:
+        return self.cpus_max or math.inf
+
+    @property
+    def card_limit(self) -> float:
+        return self.cards_max or math.inf
+
+
+class Objective(msgspec.Struct, rename={"job_class": "class"}):
+    kind: str
+    job_class: str | None = None
+    within_s: float | None = None
+    share: float | None = None
+    times: float | None = None
+
+
+class Workers(msgspec.Struct):
+    report_s: float
+    lease_s: float
+    cancel_s: float
+
+    @property
+    def report(self) -> timedelta:
+        return seconds(self.report_s)
+
+    @property
+    def lease(self) -> timedelta:
+        return seconds(self.lease_s)
+
+    @property
+    def cancel(self) -> timedelta:
+        return seconds(self.cancel_s)
+
+
+class State(msgspec.Struct):
+    rps: float
+    write_rps: float
+    value_kb: float
+    txn_ops: int
+
+
+class Cloud(msgspec.Struct):
+    rps: float
+    list_lag_s: float
+
+    @property
+    def list_lag(self) -> timedelta:
+        return seconds(self.list_lag_s)
+
+
+class Limits(msgspec.Struct):
+    cores: float = 1.0
+    ram_mb: float = 256.0
+    max_connections: int = 1000
+
+
+class Facts(msgspec.Struct):
+    zones: list[str]
+    workers: Workers
+    state: State
+    cloud: Cloud
+    limits: Limits = msgspec.field(default_factory=Limits)
+    teams: list[Team] = []
+    objectives: list[Objective] = []
+    initial_size: int = 1
+    time_bound_ms: float = 0.0
+
+
+class Platform(msgspec.Struct, rename={"node": "node_name", "zone": "site", "listen": "serve_on"}):
+    node: str
+    zone: str
+    listen: str
+    peer_listen: str
+    endpoints: Endpoints
+    facts: Facts
+    others: list[Other] = []
+
+    def team(self, name: str) -> Team | None:
+        return next((team for team in self.facts.teams if team.name == name), None)
+
+
+def split_address(address: str) -> tuple[str, int]:
+    host, _, port = address.rpartition(":")
+    if not host or not port.isdigit() or not 0 <= int(port) < 65536:
+        raise ValueError(address)
+    return host, int(port)
+
+
+def parse(text: str) -> Platform:
+    try:
+        raw = tomllib.loads(text)
+    except tomllib.TOMLDecodeError as error:
+        raise BadSettings(f"not TOML: {error}") from error
+    try:
+        platform = msgspec.convert(raw, Platform)
+    except msgspec.ValidationError as error:
+        raise BadSettings(str(error)) from error
+    _check(platform)
+    return platform
+
+
+def load(path: Path) -> Platform:
+    try:
+        return parse(path.read_text())
+    except (OSError, UnicodeDecodeError) as error:
+        raise BadSettings(f"{path}: {error}") from error
+
+
+def _check(platform: Platform) -> None:
+    facts = platform.facts
+    addresses = {
+        "serve_on": platform.listen,
+        "peer_listen": platform.peer_listen,
+        "endpoints.cloud": platform.endpoints.cloud,
+        "endpoints.state": platform.endpoints.state,
+        **{f"others.{other.node}.address": other.address for other in platform.others},
+    }
+    for name, address in addresses.items():
+        try:
+            split_address(address)
+        except ValueError:
+            raise BadSettings(f"{name}: not an address: {address!r}") from None
+    positive = {
+        "facts.workers.report_s": facts.workers.report_s,
+        "facts.workers.lease_s": facts.workers.lease_s,
+        "facts.workers.cancel_s": facts.workers.cancel_s,
+        "facts.state.rps": facts.state.rps,
+        "facts.state.write_rps": facts.state.write_rps,
+        "facts.state.value_kb": facts.state.value_kb,
+        "facts.state.txn_ops": facts.state.txn_ops,
+        "facts.cloud.rps": facts.cloud.rps,
+        "facts.limits.cores": facts.limits.cores,
+        "facts.limits.ram_mb": facts.limits.ram_mb,
+        "facts.limits.max_connections": facts.limits.max_connections,
+    }
+    for name, value in positive.items():
+        if not (math.isfinite(value) and value > 0):
+            raise BadSettings(f"{name}: must be above 0, is {value}")
+    for team in facts.teams:
+        for field in ("cpus", "cpus_max", "cards", "cards_max"):
+            value = getattr(team, field)
+            if not (math.isfinite(value) and value >= 0):
+                raise BadSettings(f"facts.teams.{team.name}.{field}: must be 0 or more, is {value}")
+    if not math.isfinite(facts.cloud.list_lag_s) or facts.cloud.list_lag_s < 0:
+        raise BadSettings("facts.cloud.list_lag_s: must be 0 or more")
--- /dev/null
+++ b/src/elmthread/sizing/service.py
@@ -0,0 +1,243 @@
+"""Carries out the sizing decisions: rents for late groups and the band, returns what is idle."""
+
+import logging
+import math
+from collections import deque
+from datetime import timedelta
+
+from elmthread.common.clock import Clock, seconds
+from elmthread.fleet.service import Fleet, Kind
+from elmthread.placement.book import Book, Hold, Job, Machine, MachineState
+from elmthread.placement.decide import Room, Want, allowed
+from elmthread.placement.service import Placement
+from elmthread.settings.operators import Operators
+from elmthread.sizing.decide import Band, Group, Offer, Supply, band, fewest
+from elmthread.sizing.work import WorkModel
+
+log = logging.getLogger(__name__)
+
+# Deadlines within this of one another form one group.
+GROUP = 20.0
+# A group is to end within this part of its time: estimates are rough, and starts take a moment.
+MARGIN = 0.75
+# Boots take up to half again as long as the cloud says.
+BOOT = 1.2
+# Urgent demand is remembered for this long to track theta.
+MEMORY = seconds(300)
+IDLE = seconds(10)
+
+
+class Sizing:
+    def __init__(
+        self,
+        book: Book,
+        fleet: Fleet,
+        placement: Placement,
+        work: WorkModel,
+        operators: Operators,
+        clock: Clock,
+    ) -> None:
+        self._book = book
+        self._fleet = fleet
+        self._placement = placement
+        self._work = work
+        self._operators = operators
+        self._clock = clock
+        self._demand: deque[tuple[timedelta, float]] = deque()
+        self.theta = operators.theta
+
+    def expected(self, job: Job) -> timedelta:
+        return self._work.run_time(job.spec.job_class, job.spec.expected_s)
+
+    def round(self) -> None:
+        if not self._fleet.types:
+            return
+        now = self._clock()
+        wants = self._placement.wants(now)
+        rooms = self._placement.rooms()
+        self._for_groups(wants, rooms, now)
+        self._for_band(wants, rooms, now)
+
+    # Deferrable pressure
+
+    def _for_groups(self, wants: list[Want], rooms: dict[str, Room], now: timedelta) -> None:
+        waiting = [want for want in wants if not want.urgent]
+        if not waiting:
+            self._return_pool(now)
+            return
+        groups, usable = self._groups(waiting, rooms, now)
+        supplies = self._supplies(now)
+        usable -= sum(supply.cores for supply in supplies) - self._busy_cores()
+        offers = self._offers(waiting)
+        chosen = fewest(groups, supplies, self._ahead(now), offers, usable)
+        counts: dict[Kind, int] = {}
+        for offer in chosen:
+            kind = Kind(offer.build, offer.zone, offer.spot)
+            counts[kind] = counts.get(kind, 0) + 1
+        for kind, count in counts.items():
+            self._fleet.order(kind, count, pool=True)
+
+    def _groups(
+        self, waiting: list[Want], rooms: dict[str, Room], now: timedelta
+    ) -> tuple[list[Group], float]:
+        """Waiting deferrable tasks by deadline, and the cores they could use at once."""
+        by_due: dict[int, Group] = {}
+        team_cores: dict[str, float] = {}
+        for want in waiting:
+            job = self._book.jobs[want.job]
+            due = (job.since + job.deadline * MARGIN - now).total_seconds()
+            each = self.expected(job).total_seconds()
+            room = max(0.0, rooms[want.team].cpus - team_cores.get(want.team, 0.0))
+            cores = min(room, want.count * want.cpus)
+            team_cores[want.team] = team_cores.get(want.team, 0.0) + cores
+            group = by_due.setdefault(math.floor(due / GROUP), Group(due, 0.0, 0.0, 0.0))
+            group.due = min(group.due, due)
+            group.work += want.count * want.cpus * each
+            group.longest = max(group.longest, each)
+            # A team at its limit still uses its share as its running tasks end.
+            group.usable += max(cores, want.cpus)
+        return [by_due[key] for key in sorted(by_due)], sum(team_cores.values())
+
+    def _supplies(self, now: timedelta) -> list[Supply]:
+        supplies = []
+        for machine in self._book.machines.values():
+            if machine.state is MachineState.UP and machine.open:
+                urgent = sum(hold.job.spec.cpus for hold in machine.holds.values() if hold.job.urgent)
+                supplies.append(Supply(0.0, machine.cpus - urgent))
+            elif machine.state is MachineState.BOOTING:
+                kind = self._fleet.types.get(machine.build)
+                if kind is not None:
+                    age = (now - machine.known_since).total_seconds()
+                    if age < kind.boot_s * 2:
+                        supplies.append(Supply(max(1.0, kind.boot_s * BOOT - age), machine.cpus))
+        for order in self._fleet.orders.values():
+            kind = self._fleet.types.get(order.kind.build)
+            if kind is not None:
+                supplies.append(Supply(kind.boot_s * BOOT, kind.cpus * order.count))
+        return supplies
+
+    def _busy_cores(self) -> float:
+        return sum(
+            hold.job.spec.cpus
+            for machine in self._book.machines.values()
+            if machine.open
+            for hold in machine.holds.values()
+            if not hold.job.urgent
+        )
+
+    def _ahead(self, now: timedelta) -> float:
+        """Core-seconds that running deferrable tasks still take."""
+        return sum(
+            hold.job.spec.cpus * self._left(hold, now)
+            for machine in self._book.machines.values()
+            if machine.open
+            for hold in machine.holds.values()
+            if not hold.job.urgent
+        )
+
+    def _left(self, hold: Hold, now: timedelta) -> float:
+        whole = self.expected(hold.job).total_seconds()
+        if hold.started_at is None:
+            return whole
+        return max(whole - (now - hold.started_at).total_seconds(), whole * 0.2)
+
+    def _offers(self, waiting: list[Want]) -> list[Offer]:
+        offers = []
+        for kind in self._fleet.types.values():
+            for zone in kind.zones:
+                for spot in (True, False):
+                    if self._fleet.refused(Kind(kind.name, zone, spot)):
+                        continue
+                    if any(
+                        allowed(want, kind.name, zone, spot)
+                        and want.cpus <= kind.cpus
+                        and want.cards <= kind.cards
+                        and want.ram <= kind.memory_gb
+                        for want in waiting
+                    ):
+                        price = kind.spot_price if spot else kind.price
+                        offers.append(Offer(kind.name, zone, spot, kind.cpus, price, kind.boot_s * BOOT))
+        return offers
+
+    def _return_pool(self, now: timedelta) -> None:
+        """An idle deferrable pool goes back whole."""
+        pool = [m for m in self._book.machines.values() if m.pool and m.state is MachineState.UP]
+        if pool and all(not m.holds and now - m.empty_since > IDLE for m in pool):
+            for machine in pool:
+                self._fleet.give_up(machine, "the pool is idle")
+
+    # Urgent pressure
+
+    def _urgent(self, wants: list[Want], rooms: dict[str, Room]) -> float:
+        """Urgent cores: booked, and waiting as far as teams' limits let them run."""
+        booked = sum(
+            hold.job.spec.cpus
+            for machine in self._book.machines.values()
+            for hold in machine.holds.values()
+            if hold.job.urgent
+        )
+        left = {name: room.cpus for name, room in rooms.items()}
+        for want in wants:
+            if want.urgent:
+                cores = max(0.0, min(left[want.team], want.count * want.cpus))
+                left[want.team] -= cores
+                booked += cores
+        return booked
+
+    def _for_band(self, wants: list[Want], rooms: dict[str, Room], now: timedelta) -> None:
+        urgent = self._urgent(wants, rooms)
+        self._track(urgent, now)
+        outside = [
+            m
+            for m in self._book.machines.values()
+            if not m.pool and m.state in (MachineState.UP, MachineState.BOOTING, MachineState.UNSURE)
+        ]
+        cores = sum(m.cpus for m in outside)
+        for order in self._fleet.orders.values():
+            kind = self._fleet.types.get(order.kind.build)
+            if not order.pool and kind is not None:
+                cores += kind.cpus * order.count
+        match band(urgent, cores, self.theta, self._operators.delta):
+            case Band.RENT:
+                self._rent_one(wants, urgent / self.theta - cores)
+            case Band.RETURN:
+                self._return_one(outside, urgent, cores, now)
+            case Band.STAY:
+                pass
+
+    def _track(self, urgent: float, now: timedelta) -> None:
+        """Theta follows the recent mean-to-peak ratio of urgent demand."""
+        self._demand.append((now, urgent))
+        while self._demand[0][0] < now - MEMORY:
+            self._demand.popleft()
+        peak = max(demand for _, demand in self._demand)
+        if peak > 0 and now - self._demand[0][0] > seconds(60):
+            mean = sum(demand for _, demand in self._demand) / len(self._demand)
+            self.theta = min(max(mean / peak, 0.15), 0.9)
+
+    def _rent_one(self, wants: list[Want], lacking: float) -> None:
+        """One machine: the cheapest a core of those large enough, else the largest."""
+        offers = self._offers([want for want in wants if want.urgent] or wants)
+        if not offers:
+            return
+        offer = min(
+            offers,
+            key=lambda o: (max(0.0, lacking - o.cores), o.price * max(o.cores, lacking) / o.cores, o.boot),
+        )
+        self._fleet.order(Kind(offer.build, offer.zone, offer.spot), 1, pool=False)
+
+    def _return_one(self, outside: list[Machine], urgent: float, cores: float, now: timedelta) -> None:
+        most = self.theta + self._operators.delta
+        empty = [
+            m
+            for m in outside
+            if m.state is MachineState.UP
+            and not m.holds
+            and now - m.empty_since > IDLE
+            and urgent <= most * (cores - m.cpus)
+        ]
+        if empty:
+            machine = max(empty, key=lambda m: m.price / m.cpus if m.cpus else 0.0)
+            self._fleet.give_up(machine, "not needed")
+
+
