--- a/src/elmthread/settings/expressions.py
+++ b/src/elmthread/settings/expressions.py
@@ -8,7 +8,7 @@
 from collections.abc import Mapping
 from typing import Any
 
-from simpleeval import SimpleEval
+from simpleeval import EvalWithCompoundTypes
 
 MAX_LENGTH = 400
 MAX_NODES = 80
@@ -42,7 +42,7 @@
         found = _type_of(tree.body, names)
         if found != wanted:
             raise BadExpression(f"gives a {found}, wanted a {wanted}")
-        self._eval = SimpleEval(functions=FUNCTIONS)
+        self._eval = EvalWithCompoundTypes(functions=FUNCTIONS)
         self._tree = tree.body
         self.names = frozenset(node.id for node in ast.walk(tree) if isinstance(node, ast.Name)) - FUNCTIONS.keys()
 
