--- a/src/elmthread/agents/service.py
+++ b/src/elmthread/agents/service.py
@@ -19,9 +19,9 @@
 from elmthread.agents.messages import Report, Task
 from elmthread.common.clock import Clock, seconds
 from elmthread.common.http import BadBody, Request, Response, again, decode
+from elmthread.leadership.election import Election
 from elmthread.ledger.records import machine_key, machine_record, to_store
 from elmthread.ledger.writer import Rank, Writer
-from elmthread.leadership.election import Election
 from elmthread.placement.book import SEEN, Book, Hold, HoldState, Job, Machine, MachineState, Stop
 from elmthread.sizing.work import WorkModel
 
@@ -96,9 +96,7 @@
 
     def _adopt(self, report: Report) -> Machine:
         """A machine nobody told us of: rented by a late request or by an earlier leader."""
-        machine = Machine(
-            report.machine, report.type, report.zone, report.spot, MachineState.UNSURE, self._clock()
-        )
+        machine = Machine(report.machine, report.type, report.zone, report.spot, MachineState.UNSURE, self._clock())
         self._describe(machine)
         self._book.machines[machine.name] = machine
         return machine
@@ -129,9 +127,7 @@
             if event is not None:
                 event.set()
 
-        self._writer.write(
-            machine_key(machine.name), Rank.ASSIGN, lambda: to_store(machine_record(machine)), durable
-        )
+        self._writer.write(machine_key(machine.name), Rank.ASSIGN, lambda: to_store(machine_record(machine)), durable)
 
     # What a report says
 
--- a/src/elmthread/common/http.py
+++ b/src/elmthread/common/http.py
@@ -142,9 +142,7 @@
             assert head is not None
             me.until = self.clock() + IDLE_TIME
             target = urlsplit(head.target.decode("ascii", "replace"))
-            request = Request(
-                head.method.decode("ascii"), target.path, dict(parse_qsl(target.query)), bytes(body)
-            )
+            request = Request(head.method.decode("ascii"), target.path, dict(parse_qsl(target.query)), bytes(body))
             try:
                 response = await self.handle(request)
             except Exception:
@@ -242,7 +240,11 @@
                     (b"content-length", b"%d" % len(payload)),
                 ],
             )
-            parts = [conn.send(request), conn.send(h11.Data(data=payload)) if payload else b"", conn.send(h11.EndOfMessage())]
+            parts = [
+                conn.send(request),
+                conn.send(h11.Data(data=payload)) if payload else b"",
+                conn.send(h11.EndOfMessage()),
+            ]
             writer.write(b"".join(part for part in parts if part))
             status = 0
             data = bytearray()
--- a/src/elmthread/controller.py
+++ b/src/elmthread/controller.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from elmthread.agents.messages import elsewhere
 from elmthread.agents.service import Agents
 from elmthread.common.clock import Clock, seconds, steady
 from elmthread.common.http import Caller, Client, Request, Response, Server
@@ -16,7 +17,6 @@
 from elmthread.intake.api import Api
 from elmthread.intake.messages import Submission
 from elmthread.intake.service import Intake
-from elmthread.agents.messages import elsewhere
 from elmthread.leadership.election import Election
 from elmthread.ledger import messages as ledger_messages
 from elmthread.ledger import records
@@ -87,23 +87,48 @@
         rate = facts.state.write_rps * LEADERS_PART
         self.book = Book(records.most_holds(facts.state.value_kb))
         self.writer = Writer(
-            state, token, self._stamps, Bucket(rate, rate, clock), facts.state.txn_ops, clock,
+            state,
+            token,
+            self._stamps,
+            Bucket(rate, rate, clock),
+            facts.state.txn_ops,
+            clock,
             lambda: election.step_down("a transaction found another leader"),
         )
         self.work = WorkModel()
         calls = Bucket(facts.cloud.rps * 0.9, max(1.0, facts.cloud.rps * 1.5), clock)
         unsure_until = clock() + election.unaccounted_for(facts.workers.lease)
         self.fleet = Fleet(
-            self.book, CloudClient(cloud, calls), self.writer, clock, facts.cloud.list_lag,
-            facts.workers.lease, unsure_until, election.leads, self._next_rental, self.changed,
+            self.book,
+            CloudClient(cloud, calls),
+            self.writer,
+            clock,
+            facts.cloud.list_lag,
+            facts.workers.lease,
+            unsure_until,
+            election.leads,
+            self._next_rental,
+            self.changed,
         )
         self.intake = Intake(
-            self.book, election, self.writer, clock, self._new_job, self._can_run,
-            lambda: bool(self.fleet.types), self.changed,
+            self.book,
+            election,
+            self.writer,
+            clock,
+            self._new_job,
+            self._can_run,
+            lambda: bool(self.fleet.types),
+            self.changed,
         )
         self.agents = Agents(
-            self.book, election, self.writer, self.work, clock, self.fleet.describe,
-            self.intake.finished, self.changed,
+            self.book,
+            election,
+            self.writer,
+            self.work,
+            clock,
+            self.fleet.describe,
+            self.intake.finished,
+            self.changed,
         )
         self.placement = Placement(
             self.book, self._teams, clock, self._next_attempt, self.agents.assign, self._expected
@@ -159,8 +184,15 @@
         if team is None:
             return "unknown team"
         want = Want(
-            job=spec.id, team=spec.team, order=(), count=1, cpus=spec.cpus, cards=spec.cards, ram=spec.ram_gb,
-            types=None if spec.types is None else frozenset(spec.types), zone=spec.zone,
+            job=spec.id,
+            team=spec.team,
+            order=(),
+            count=1,
+            cpus=spec.cpus,
+            cards=spec.cards,
+            ram=spec.ram_gb,
+            types=None if spec.types is None else frozenset(spec.types),
+            zone=spec.zone,
         )
         types = [(t.name, t.cpus, t.cards, t.memory_gb, t.zones) for t in self.fleet.types.values()]
         return may_ever_run(want, team, types)
@@ -192,7 +224,9 @@
         self.loaded = True
         log.info(
             "loaded %s jobs, %s of them open, and %s machines",
-            len(self.book.jobs), len(self.book.open_jobs), len(self.book.machines),
+            len(self.book.jobs),
+            len(self.book.open_jobs),
+            len(self.book.machines),
         )
 
     async def _all(self, prefix: str) -> list[ledger_messages.Item]:
@@ -283,9 +317,23 @@
 def _finished_spec(job_id: str, tasks: int) -> Submission:
     """Of a job that is over only its end is kept; this fills the form."""
     return Submission(
-        id=job_id, job_class="-", team="-", form="batch", priority="normal", tasks=tasks, cpus=1.0, cards=0.0,
-        ram_gb=0.0, image="-", image_gb=0.0, one_zone=False, spread=False, spot=True, expected_s=0.0,
-        checkpoint_s=0.0, save_s=0.0,
+        id=job_id,
+        job_class="-",
+        team="-",
+        form="batch",
+        priority="normal",
+        tasks=tasks,
+        cpus=1.0,
+        cards=0.0,
+        ram_gb=0.0,
+        image="-",
+        image_gb=0.0,
+        one_zone=False,
+        spread=False,
+        spot=True,
+        expected_s=0.0,
+        checkpoint_s=0.0,
+        save_s=0.0,
     )
 
 
@@ -310,9 +358,7 @@
             platform.node, self._state, clock, LEASE, holding_time(platform), self._won, self._lost
         )
         links = {other.node: split_address(other.address) for other in platform.others}
-        self.peers = Peers(
-            links, self._answer, lambda lead: self.election.hear(lead.token, lead.leader), self._say
-        )
+        self.peers = Peers(links, self._answer, lambda lead: self.election.hear(lead.token, lead.leader), self._say)
         self.api = Api(platform.node, self.election, self.peers, clock, self._intake, self._beat)
         self.server = Server(self.api.handle, max(10, facts.limits.max_connections * 3 // 4), clock)
         self.leader: Leader | None = None
@@ -373,5 +419,3 @@
             group.create_task(self.server.sweep())
             group.create_task(self.peers.run(*split_address(platform.peer_listen)))
             group.create_task(self.election.run())
-
-
--- a/src/elmthread/fleet/client.py
+++ b/src/elmthread/fleet/client.py
@@ -1,13 +1,12 @@
 """The cloud met through its protocol, paced within its rate."""
 
 import logging
-
 from typing import Any, TypeVar
 
 import msgspec
 
 from elmthread.common.clock import seconds
-from elmthread.common.http import Caller, NoAnswer
+from elmthread.common.http import Answer, Caller, NoAnswer
 from elmthread.fleet import messages
 from elmthread.ledger.pacing import Bucket
 
@@ -20,7 +19,7 @@
 
 
 class Trouble(Exception):
-    """No usable answer; the request may have been carried out unless `refused`."""
+    """No usable answer; the request may have been carried out."""
 
 
 class NoCapacity(Exception):
@@ -33,20 +32,20 @@
         self.calls = calls
 
     async def types(self) -> list[messages.Type]:
-        return (await self._call("GET", "/flavors", None, messages.Types)).types
+        return _read(await self._call("GET", "/flavors"), messages.Types).types
 
     async def rent(self, name: str, build: str, zone: str, spot: bool, count: int) -> list[str]:
         body = messages.rental(name, build, zone, spot, min(count, MOST_RENTED))
-        return (await self._call("POST", "/hosts", body, messages.Rented)).machines
+        return _read(await self._call("POST", "/hosts", body), messages.Rented).machines
 
     async def delete(self, names: list[str]) -> None:
-        await self._call("POST", "/hosts/delete", messages.deletion(names), None)
+        await self._call("POST", "/hosts/delete", messages.deletion(names))
 
     async def page(self, after: str | None, most: int = 500) -> messages.Page:
         since = "" if after is None else f"&since={after}"
-        return await self._call("GET", f"/hosts?most={most}{since}", None, messages.Page)
+        return _read(await self._call("GET", f"/hosts?most={most}{since}"), messages.Page)
 
-    async def _call(self, method: str, path: str, body: Any, kind: type[T] | None) -> T:
+    async def _call(self, method: str, path: str, body: Any = None) -> Answer:
         try:
             answer = await self._caller.call(method, path, body, timeout=CALL_TIME)
         except NoAnswer as error:
@@ -57,12 +56,12 @@
             raise NoCapacity(path)
         if answer.status != 200:
             raise Trouble(f"{method} {path}: {answer.status} {answer.body}")
-        if kind is None:
-            return None  # type: ignore[return-value]
-        try:
-            return msgspec.convert(answer.body, kind)
-        except msgspec.ValidationError as error:
-            log.error("cloud: malformed answer: %s", error)
-            raise Trouble(str(error)) from error
+        return answer
 
 
+def _read(answer: Answer, kind: type[T]) -> T:
+    try:
+        return msgspec.convert(answer.body, kind)
+    except msgspec.ValidationError as error:
+        log.error("cloud: malformed answer: %s", error)
+        raise Trouble(str(error)) from error
--- a/src/elmthread/fleet/service.py
+++ b/src/elmthread/fleet/service.py
@@ -8,9 +8,10 @@
 import asyncio
 import logging
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
 from dataclasses import dataclass
 from datetime import timedelta
+from typing import Any
 
 from elmthread.common.clock import Clock, at_least, seconds
 from elmthread.fleet import messages
@@ -146,7 +147,7 @@
     def _due(self, last: timedelta | None, every: timedelta) -> bool:
         return last is None or self._clock() - last >= every
 
-    def _spawn(self, work) -> None:  # type: ignore[no-untyped-def]
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
         task = asyncio.get_running_loop().create_task(work)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
@@ -350,4 +351,3 @@
             machine.silent_sessions = machine.newest[0]
             self._book.drop_all(machine, now)
             self._changed()
-
--- a/src/elmthread/intake/api.py
+++ b/src/elmthread/intake/api.py
@@ -123,9 +123,7 @@
         """A question that came over the peer link."""
         response = await self._here(ask)
         after = response.retry_after
-        return Reply(
-            ask.number, response.status, response.body, None if after is None else after.total_seconds()
-        )
+        return Reply(ask.number, response.status, response.body, None if after is None else after.total_seconds())
 
 
 def _wrong_method() -> Response:
--- a/src/elmthread/intake/service.py
+++ b/src/elmthread/intake/service.py
@@ -184,8 +184,4 @@
             self._writer.write(job_key(job.id), Rank.DONE, self._record(job), stored)
             return
         chunk = task // job.chunk
-        self._writer.write(
-            done_key(job.id, chunk), Rank.DONE, lambda: to_store(done_record(job, chunk)), durable
-        )
-
-
+        self._writer.write(done_key(job.id, chunk), Rank.DONE, lambda: to_store(done_record(job, chunk)), durable)
--- a/src/elmthread/ledger/client.py
+++ b/src/elmthread/ledger/client.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from elmthread.common.clock import Clock, seconds
+from elmthread.common.clock import seconds
 from elmthread.common.http import Answer, Caller, NoAnswer
 from elmthread.ledger import messages
 from elmthread.ledger.pacing import Bucket
--- a/src/elmthread/ledger/writer.py
+++ b/src/elmthread/ledger/writer.py
@@ -176,7 +176,7 @@
         guards = [messages.guard(LEADER, self._token)]
         then = []
         size = 0
-        taken = []
+        taken: list[tuple[Change, Any]] = []
         for change in batch:
             value = change.make()
             weight = len(msgspec.json.encode(value)) + 3 * len(change.key) + 100
--- a/src/elmthread/peers/messages.py
+++ b/src/elmthread/peers/messages.py
@@ -33,4 +33,5 @@
 Message = Lead | Ask | Reply
 
 encode = msgspec.json.Encoder().encode
-decode = msgspec.json.Decoder(Message).decode
+_decoder: msgspec.json.Decoder[Message] = msgspec.json.Decoder(Message)
+decode = _decoder.decode
--- a/src/elmthread/placement/book.py
+++ b/src/elmthread/placement/book.py
@@ -34,8 +34,27 @@
     """A job and its tasks; what is not done, not held and open waits in `pending`."""
 
     __slots__ = (
-        "backoff", "chunk", "count_done", "deadline", "done", "errors", "held", "id", "live", "pending", "rank",
-        "retry_at", "since", "spec", "state", "stored", "submitted", "total", "urgent", "writing", "zones",
+        "backoff",
+        "chunk",
+        "count_done",
+        "deadline",
+        "done",
+        "errors",
+        "held",
+        "id",
+        "live",
+        "pending",
+        "rank",
+        "retry_at",
+        "since",
+        "spec",
+        "state",
+        "stored",
+        "submitted",
+        "total",
+        "urgent",
+        "writing",
+        "zones",
     )
 
     def __init__(
@@ -89,9 +108,7 @@
 
     def refill(self) -> None:
         """Finds the waiting tasks anew, after loading."""
-        self.pending = deque(
-            task for task in range(self.total) if task not in self.held and not self.is_done(task)
-        )
+        self.pending = deque(task for task in range(self.total) if task not in self.held and not self.is_done(task))
 
     @property
     def open(self) -> bool:
@@ -126,9 +143,7 @@
 class Hold:
     __slots__ = ("attempt", "job", "machine", "placed_at", "sent", "started_at", "state", "stop", "task")
 
-    def __init__(
-        self, job: Job, task: int, attempt: int, machine: "Machine", state: HoldState, now: timedelta
-    ) -> None:
+    def __init__(self, job: Job, task: int, attempt: int, machine: "Machine", state: HoldState, now: timedelta) -> None:
         self.job = job
         self.task = task
         self.attempt = attempt
@@ -166,9 +181,35 @@
     """One rented machine: what it is, what it may hold, and what was last heard of it."""
 
     __slots__ = (
-        "address", "answered_at", "build", "cards", "cards_used", "cpus", "cpus_used", "empty_since", "failures",
-        "fetch_rate", "holds", "images", "known_since", "listed", "name", "newest", "pool", "price", "ram", "ram_used",
-        "recall_at", "reported_at", "silent_sessions", "spot", "state", "suspect", "to_reap", "was_listed", "zone",
+        "address",
+        "answered_at",
+        "build",
+        "cards",
+        "cards_used",
+        "cpus",
+        "cpus_used",
+        "empty_since",
+        "failures",
+        "fetch_rate",
+        "holds",
+        "images",
+        "known_since",
+        "listed",
+        "name",
+        "newest",
+        "pool",
+        "price",
+        "ram",
+        "ram_used",
+        "recall_at",
+        "reported_at",
+        "silent_sessions",
+        "spot",
+        "state",
+        "suspect",
+        "to_reap",
+        "was_listed",
+        "zone",
         "successes",
     )
 
@@ -235,9 +276,7 @@
         job.move(state)
         self.open_jobs.pop(job.id, None)
 
-    def hold(
-        self, machine: Machine, job: Job, task: int, attempt: int, state: HoldState, now: timedelta
-    ) -> Hold:
+    def hold(self, machine: Machine, job: Job, task: int, attempt: int, state: HoldState, now: timedelta) -> Hold:
         hold = Hold(job, task, attempt, machine, state, now)
         machine.holds[attempt] = hold
         spec = job.spec
--- a/src/elmthread/placement/decide.py
+++ b/src/elmthread/placement/decide.py
@@ -147,9 +147,7 @@
     loss: timedelta = ZERO
 
 
-def preempt(
-    want: Want, slots: dict[str, Slot], victims: list[Victim], room: Room
-) -> list[Victim]:
+def preempt(want: Want, slots: dict[str, Slot], victims: list[Victim], room: Room) -> list[Victim]:
     """The tasks to stop so that `want` gets room: those that lose least for the room they give.
 
     `slots` counts room that is already being freed. Each machine is filled as far as its
--- a/src/elmthread/placement/service.py
+++ b/src/elmthread/placement/service.py
@@ -117,9 +117,7 @@
             urgent=job.urgent,
         )
 
-    def _make_room(
-        self, wants: list[Want], slots: dict[str, Slot], rooms: dict[str, Room], now: timedelta
-    ) -> None:
+    def _make_room(self, wants: list[Want], slots: dict[str, Slot], rooms: dict[str, Room], now: timedelta) -> None:
         """Urgent work that lacks room requeues deferrable work."""
         if not wants:
             return
@@ -201,5 +199,3 @@
         if job.cpus <= cpus and job.cards <= cards and job.ram <= ram:
             return None
     return "a task fits no allowed machine type"
-
-
--- a/src/elmthread/settings/expressions.py
+++ b/src/elmthread/settings/expressions.py
@@ -16,7 +16,10 @@
 FUNCTIONS: dict[str, Any] = {"min": min, "max": max, "abs": abs}
 
 _OPERATORS: dict[type[ast.AST], str] = {
-    ast.Add: "number", ast.Sub: "number", ast.Mult: "number", ast.Div: "number",
+    ast.Add: "number",
+    ast.Sub: "number",
+    ast.Mult: "number",
+    ast.Div: "number",
 }
 _ORDERS = (ast.Lt, ast.LtE, ast.Gt, ast.GtE)
 _EQUALS = (ast.Eq, ast.NotEq)
--- a/src/elmthread/sizing/decide.py
+++ b/src/elmthread/sizing/decide.py
@@ -6,7 +6,7 @@
 """
 
 import math
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from enum import Enum, auto
 
@@ -145,7 +145,7 @@
     return _cheapen(chosen, offers, saves)
 
 
-def _cheapen(chosen: list[Offer], offers: Sequence[Offer], saves) -> list[Offer]:  # type: ignore[no-untyped-def]
+def _cheapen(chosen: list[Offer], offers: Sequence[Offer], saves: Callable[[Sequence[Offer]], bool]) -> list[Offer]:
     """Swaps each machine for a cheaper one as long as no group turns late by it."""
     if not saves(chosen):
         return chosen
--- a/src/elmthread/sizing/service.py
+++ b/src/elmthread/sizing/service.py
@@ -77,9 +77,7 @@
         for kind, count in counts.items():
             self._fleet.order(kind, count, pool=True)
 
-    def _groups(
-        self, waiting: list[Want], rooms: dict[str, Room], now: timedelta
-    ) -> tuple[list[Group], float]:
+    def _groups(self, waiting: list[Want], rooms: dict[str, Room], now: timedelta) -> tuple[list[Group], float]:
         """Waiting deferrable tasks by deadline, and the cores they could use at once."""
         by_due: dict[int, Group] = {}
         team_cores: dict[str, float] = {}
@@ -239,5 +237,3 @@
         if empty:
             machine = max(empty, key=lambda m: m.price / m.cpus if m.cpus else 0.0)
             self._fleet.give_up(machine, "not needed")
-
-
