--- a/src/elmthread/controller.py
+++ b/src/elmthread/controller.py
@@ -24,7 +24,7 @@
 from elmthread.ledger.pacing import Bucket
 from elmthread.ledger.writer import Writer
 from elmthread.peers.link import Peers
-from elmthread.peers.messages import Lead
+from elmthread.peers.messages import Ask, Lead, Reply
 from elmthread.placement.book import Book, HoldState, Job, JobState, Machine, MachineState
 from elmthread.placement.decide import Want
 from elmthread.placement.service import Placement, may_ever_run
@@ -345,6 +345,7 @@
         clock: Clock = steady,
         state: Caller | None = None,
         cloud: Caller | None = None,
+        peers: type[Peers] = Peers,
     ) -> None:
         self._platform = platform
         self._operators = operators
@@ -358,7 +359,7 @@
             platform.node, self._state, clock, LEASE, holding_time(platform), self._won, self._lost
         )
         links = {other.node: split_address(other.address) for other in platform.others}
-        self.peers = Peers(links, self._answer, lambda lead: self.election.hear(lead.token, lead.leader), self._say)
+        self.peers = peers(links, self._answer, lambda lead: self.election.hear(lead.token, lead.leader), self._say)
         self.api = Api(platform.node, self.election, self.peers, clock, self._intake, self._beat)
         self.server = Server(self.api.handle, max(10, facts.limits.max_connections * 3 // 4), clock)
         self.leader: Leader | None = None
@@ -405,7 +406,7 @@
             return Response(421, elsewhere(None if known == self._platform.node else known))
         return await leader.agents.beat(request)
 
-    async def _answer(self, ask: Any) -> Any:
+    async def _answer(self, ask: Ask) -> Reply:
         return await self.api.answer(ask)
 
     def _say(self) -> Lead:
--- /dev/null
+++ b/tests/test_world.py
@@ -0,0 +1,276 @@
+"""Whole days in miniature, judged by the plain model of the rules in tests/world/rules.py."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+import pytest
+from hypothesis import HealthCheck, given, seed, settings
+from hypothesis import strategies as st
+
+from tests.world.loop import play
+from tests.world.world import NODES, World, job
+
+
+def day(script: Callable[[World], Awaitable[None]], seed: int = 1, machines: int = 4) -> World:
+    world = World(seed)
+
+    async def main() -> None:
+        for index in range(machines):
+            world.rent("small" if index % 2 else "large", ["east", "north"][index % 2])
+        for node in NODES:
+            world.start(node)
+        await script(world)
+
+    play(main(), world.loop)
+    assert world.rules.broken == []
+    assert world.store.bad_requests == []
+    return world
+
+
+def test_jobs_run_and_are_told_done() -> None:
+    async def script(world: World) -> None:
+        for number in range(6):
+            assert await world.submit(job(number, urgency="high" if number % 2 else "normal"))
+        states = await world.until_over([f"run-{n:06d}" for n in range(6)], 90)
+        assert set(states.values()) == {"done"}
+
+    world = day(script)
+    assert max(world.rules.starts.values()) == 1
+
+
+def test_idle_machines_go_back_and_late_work_rents() -> None:
+    async def script(world: World) -> None:
+        assert await world.submit(job(1, pieces=200, expected_s=20.0, true_s=20.0))
+        await asyncio.sleep(60)
+        assert len(world.cloud.machines) > 1
+        states = await world.until_over(["run-000001"], 240)
+        assert states == {"run-000001": "done"}
+        await asyncio.sleep(90)
+        assert len(world.cloud.machines) <= 1
+
+    day(script, machines=1)
+
+
+@pytest.mark.parametrize("victims", [["leader"], NODES])
+def test_crashed_controllers_lose_no_job_and_double_none(victims: list[str]) -> None:
+    async def script(world: World) -> None:
+        for number in range(4):
+            assert await world.submit(job(number, true_s=25.0, expected_s=25.0))
+        await asyncio.sleep(8)
+        assert world.leader is not None
+        leader = world.leader.api._node
+        names = [leader] if victims == ["leader"] else list(NODES)
+        for name in names:
+            world.kill(name)
+        await asyncio.sleep(4)
+        for name in names:
+            world.start(name)
+        states = await world.until_over([f"run-{n:06d}" for n in range(4)], 120)
+        assert set(states.values()) == {"done"}
+
+    world = day(script)
+    # Leases outlast a crash: no task is started twice for it.
+    assert max(world.rules.starts.values()) == 1
+
+
+def test_state_outage_keeps_tasks_alive_and_refuses_users_at_once() -> None:
+    async def script(world: World) -> None:
+        assert await world.submit(job(1, true_s=30.0, expected_s=30.0))
+        await asyncio.sleep(8)
+        world.store.outage(True)
+        await asyncio.sleep(7)
+        asked = world.loop.now
+        response = await world.ask("POST", "/submissions", job(2))
+        assert response.status == 503 and response.retry_after is not None
+        assert world.loop.now - asked < 0.5
+        await asyncio.sleep(9)
+        world.store.outage(False)
+        assert (await world.until_over(["run-000001"], 60)) == {"run-000001": "done"}
+
+    world = day(script)
+    assert max(world.rules.starts.values()) == 1
+
+
+def test_leader_refused_by_the_state_service_alone_gives_way() -> None:
+    async def script(world: World) -> None:
+        assert await world.submit(job(1, true_s=30.0, expected_s=30.0))
+        await asyncio.sleep(6)
+        old = world.leader
+        assert old is not None
+        world.ports[old.api._node][0].trouble.refused = True
+        await asyncio.sleep(10)
+        assert world.leader is not None and world.leader is not old
+        assert old.election.role.name == "FOLLOWER"
+        assert (await world.until_over(["run-000001"], 60)) == {"run-000001": "done"}
+
+    day(script)
+
+
+def test_leader_cut_off_with_its_workers_is_waited_out() -> None:
+    """The old leader may answer on; what its machines hold is not started elsewhere meanwhile."""
+
+    async def script(world: World) -> None:
+        assert await world.submit(job(1, pieces=12, true_s=40.0, expected_s=40.0))
+        await asyncio.sleep(6)
+        old = world.leader
+        assert old is not None
+        name = old.api._node
+        world.ports[name][0].trouble.cut = True
+        world.ports[name][1].trouble.cut = True
+        # The links between controllers are cut too, but workers still reach the old leader.
+        reach = world.reach
+        world.reach = lambda one, other: name not in (one, other) and reach(one, other)  # type: ignore[method-assign]
+        for worker in list(world.workers):
+            world.cut_workers |= {(worker, node) for node in NODES if node != name}
+        await asyncio.sleep(35)
+        world.cut_workers.clear()
+        world.reach = reach  # type: ignore[method-assign]
+        world.ports[name][0].trouble.cut = world.ports[name][1].trouble.cut = False
+        assert (await world.until_over(["run-000001"], 200)) == {"run-000001": "done"}
+
+    day(script)
+
+
+def test_withdrawn_job_stops_everywhere() -> None:
+    async def script(world: World) -> None:
+        assert await world.submit(job(1, pieces=20, true_s=200.0, expected_s=200.0))
+        await asyncio.sleep(6)
+        world.workers[next(iter(world.workers))].hung = True
+        assert await world.withdraw("run-000001") == "cancelled"
+        await asyncio.sleep(31)
+        world.rules.check_cancelled()
+        assert world.rules.where == [] or all(world.workers[m].hung for m, _ in world.rules.where)
+        assert await world.poll("run-000001") == "cancelled"
+
+    day(script)
+
+
+def test_sick_machine_is_returned_and_bad_job_blames_none() -> None:
+    async def script(world: World) -> None:
+        await asyncio.sleep(2)
+        sick = next(iter(world.workers))
+        world.workers[sick].sick = True
+        for number in range(6):
+            assert await world.submit(job(number))
+        await world.until_over([f"run-{n:06d}" for n in range(6)], 120)
+        assert sick in world.cloud.deleted
+
+    day(script)
+
+
+def test_answers_to_what_cannot_be_taken() -> None:
+    async def script(world: World) -> None:
+        await asyncio.sleep(3)
+        bad = [{"pieces": 0}, {"cpus": -1.0}, {"cpus": float("nan")}, {"urgency": "soon"}, {"form": "ring"}]
+        bad += [{"name_id": "x y"}, {"due_s": float("inf")}, {"one_zone": "yes"}, {"pieces": 200_000}]
+        for change in bad:
+            assert (await world.ask("POST", "/submissions", job(1, **change))).status == 400, change
+        never = [{"crew": "green"}, {"cpus": 17.0}, {"builds": ["huge"]}, {"builds": ["large"], "yard": "west"}]
+        never += [{"crew": "red", "cpus": 13.0}]
+        for change in never:
+            assert (await world.ask("POST", "/submissions", job(1, **change))).status == 422, change
+        assert (await world.ask("GET", "/submissions/run-000001")).status == 404
+        assert (await world.ask("GET", "/submissions/other")).status == 404
+        assert (await world.ask("POST", "/submissions/run-000001/withdraw")).status == 404
+        assert (await world.ask("PUT", "/submissions")).status == 405
+        assert (await world.ask("GET", "/nothing")).status == 404
+        assert await world.submit(job(1))
+        # A known id is answered with the job's state before the repeat is looked at.
+        again = await world.ask("POST", "/submissions", job(1, cpus="many"))
+        assert again.status == 200 and again.body["name_id"] == "run-000001"
+
+    day(script)
+
+
+TROUBLES = ["kill", "kill_all", "outage", "refused", "cut", "hang", "die", "lossy", "late", "cancel", "burst"]
+
+
+@seed(20261201)
+@settings(max_examples=25, deadline=None, suppress_health_check=list(HealthCheck))
+@given(
+    st.integers(0, 10_000),
+    st.lists(st.tuples(st.sampled_from(TROUBLES), st.floats(0.5, 15.0)), min_size=2, max_size=7),
+)
+def test_rules_hold_whatever_fails(number: int, troubles: list[tuple[str, float]]) -> None:
+    async def script(world: World) -> None:
+        ids = []
+        for index in range(8):
+            spec = job(
+                index,
+                crew="red" if index % 3 else "blue",
+                urgency=world.rng.choice(["high", "normal", "best_effort"]),
+                pieces=world.rng.randint(1, 9),
+                cpus=world.rng.choice([1.0, 2.0]),
+                true_s=world.rng.uniform(2, 30),
+                one_zone=index == 3,
+                scatter=index == 4,
+                loaners=index != 5,
+                builds=["large"] if index == 6 else None,
+                snapshot_every_s=5.0 if index % 2 else 0.0,
+                snapshot_s=1.0 if index % 2 else 0.0,
+            )
+            if await world.submit(spec):
+                ids.append(spec["name_id"])
+        for kind, pause in troubles:
+            await befall(world, kind, ids)
+            await asyncio.sleep(pause)
+            for job_id in ids:
+                await world.poll(job_id)
+        restore(world)
+        states = await world.until_over(ids, 400)
+        assert all(state in ("done", "cancelled") for state in states.values()), states
+
+    day(script, seed=number)
+
+
+async def befall(world: World, kind: str, ids: list[str]) -> None:
+    rng = world.rng
+    if kind == "kill" and world.controllers:
+        name = rng.choice(list(world.controllers))
+        world.kill(name)
+        world.loop.call_later(rng.uniform(0.1, 8), lambda: name in world.controllers or world.start(name))
+    elif kind == "kill_all":
+        for name in list(world.controllers):
+            world.kill(name)
+        for name in NODES:
+            world.loop.call_later(
+                rng.uniform(0.1, 8), lambda name=name: name in world.controllers or world.start(name)
+            )
+    elif kind == "outage":
+        world.store.outage(True)
+        world.loop.call_later(rng.uniform(1, 20), world.store.outage, False)
+    elif kind in ("refused", "cut", "lossy", "late") and world.controllers:
+        trouble = world.ports[rng.choice(list(world.controllers))][0].trouble
+        if kind == "refused":
+            trouble.refused = True
+        elif kind == "cut":
+            trouble.cut = True
+        elif kind == "lossy":
+            trouble.lost = 0.3
+        else:
+            trouble.late = 0.3
+    elif kind == "hang" and world.workers:
+        worker = rng.choice(list(world.workers.values()))
+        worker.hung = True
+        world.loop.call_later(rng.uniform(2, 40), setattr, worker, "hung", False)
+    elif kind == "die" and world.workers:
+        name = rng.choice(list(world.workers))
+        world.workers.pop(name).gone()
+        world.cloud.machines[name].state = "failed"
+    elif kind == "cancel" and ids:
+        await world.withdraw(rng.choice(ids), 3.0)
+    elif kind == "burst":
+        number = rng.randint(100, 999_999)
+        spec = job(number, crew="red", urgency="high", pieces=6, cpus=2.0)
+        if await world.submit(spec, 3.0):
+            ids.append(spec["name_id"])
+
+
+def restore(world: World) -> None:
+    world.store.outage(False)
+    for name in NODES:
+        if name not in world.controllers:
+            world.start(name)
+        trouble = world.ports[name][0].trouble
+        trouble.refused = trouble.cut = False
+        trouble.lost = trouble.late = 0.0
--- /dev/null
+++ b/tests/world/services.py
@@ -0,0 +1,291 @@
+"""Stand-ins for the state service and the cloud, written from the protocol, in process."""
+
+import asyncio
+import random
+from dataclasses import dataclass, field
+from datetime import timedelta
+from typing import Any
+from urllib.parse import parse_qs, urlsplit
+
+from elmthread.common.http import Answer, NoAnswer
+from tests.world.loop import SimLoop
+
+
+@dataclass
+class Trouble:
+    """What befalls the exchanges between one node and one service."""
+
+    cut: bool = False  # requests hang
+    refused: bool = False  # 503 to this node alone
+    dead: bool = False  # the node's process is no more
+    lost: float = 0.0  # share of answers lost after the request was carried out
+    late: float = 0.0  # share of requests carried out only after the caller gave up
+
+
+class Port:
+    """One node's way to a service."""
+
+    def __init__(self, service: "Service", trouble: Trouble) -> None:
+        self._service = service
+        self.trouble = trouble
+
+    async def call(self, method: str, path: str, body: Any = None, *, timeout: timedelta) -> Answer:
+        loop = self._service.loop
+        end = loop.now + timeout.total_seconds()
+        trouble = self.trouble
+        await asyncio.sleep(self._service.delay())
+        if trouble.dead:
+            await asyncio.Event().wait()
+        if trouble.cut:
+            await asyncio.sleep(max(0.0, end - loop.now))
+            raise NoAnswer("cut")
+        if trouble.refused or self._service.down:
+            return Answer(503, {"error": "trouble"})
+        rng = self._service.rng
+        if rng.random() < trouble.late:
+            loop.call_later(end - loop.now + rng.uniform(0.0, 20.0), self._service.apply, method, path, body)
+            await asyncio.sleep(max(0.0, end - loop.now))
+            raise NoAnswer("late")
+        try:
+            async with asyncio.timeout(max(0.001, end - loop.now)):
+                answer = await self._service.serve(method, path, body)
+        except TimeoutError:
+            raise NoAnswer("timeout") from None
+        if rng.random() < trouble.lost:
+            await asyncio.sleep(max(0.0, end - loop.now))
+            raise NoAnswer("answer lost")
+        await asyncio.sleep(self._service.delay())
+        if trouble.dead:
+            await asyncio.Event().wait()
+        return answer
+
+
+class Service:
+    def __init__(self, loop: SimLoop, rng: random.Random, latency: float) -> None:
+        self.loop = loop
+        self.rng = rng
+        self.latency = latency
+        self.down = False
+
+    def delay(self) -> float:
+        return self.latency * self.rng.uniform(0.3, 1.0)
+
+    async def serve(self, method: str, path: str, body: Any) -> Answer:
+        return self.apply(method, path, body)
+
+    def apply(self, method: str, path: str, body: Any) -> Answer:
+        raise NotImplementedError
+
+
+class StateStore(Service):
+    """Keys, stamps, guarded transactions, grants and watches."""
+
+    def __init__(self, loop: SimLoop, rng: random.Random, most_ops: int, value_bytes: int) -> None:
+        super().__init__(loop, rng, 0.004)
+        self.revision = 1
+        self.items: dict[str, tuple[Any, int, int | None]] = {}
+        self.grants: dict[int, tuple[float, float]] = {}  # ttl, end
+        self.next_grant = 1
+        self.changes: list[tuple[int, str]] = []
+        self.most_ops = most_ops
+        self.value_bytes = value_bytes
+        self.changed = asyncio.Event()
+        self.bad_requests: list[str] = []
+
+    def expire(self) -> None:
+        if self.down:
+            return
+        for grant, (_, end) in list(self.grants.items()):
+            if self.loop.now >= end:
+                self._end(grant)
+
+    def _end(self, grant: int) -> None:
+        del self.grants[grant]
+        gone = [key for key, (_, _, hold) in self.items.items() if hold == grant]
+        if gone:
+            self.revision += 1
+        for key in gone:
+            del self.items[key]
+            self._note(key)
+
+    def _note(self, key: str) -> None:
+        self.changes.append((self.revision, key))
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    def outage(self, down: bool) -> None:
+        if self.down and not down:
+            self.grants = {g: (ttl, self.loop.now + ttl) for g, (ttl, _) in self.grants.items()}
+        self.down = down
+
+    async def serve(self, method: str, path: str, body: Any) -> Answer:
+        if not path.startswith("/watch"):
+            return self.apply(method, path, body)
+        query = {key: values[0] for key, values in parse_qs(urlsplit(path).query).items()}
+        end = self.loop.now + int(query.get("block_ms", "0")) / 1000
+        while True:
+            self.expire()
+            news = [
+                {"put": key} if key in self.items else {"delete": key}
+                for revision, key in self.changes
+                if revision > int(query["since"]) and key.startswith(query["starts"])
+            ]
+            if (news and not self.down) or self.loop.now >= end:
+                return Answer(200, {"ledger_rev": self.revision, "news": news})
+            # Grants end by time alone, so a look now and then is needed besides the event.
+            try:
+                async with asyncio.timeout(min(0.1, max(0.001, end - self.loop.now))):
+                    await self.changed.wait()
+            except TimeoutError:
+                pass
+
+    def apply(self, method: str, path: str, body: Any) -> Answer:
+        self.expire()
+        parts = urlsplit(path)
+        query = {key: values[0] for key, values in parse_qs(parts.query).items()}
+        if method == "GET" and parts.path == "/store":
+            return self._page(query)
+        if method == "GET" and parts.path.startswith("/store/"):
+            key = parts.path.removeprefix("/store/")
+            if key not in self.items:
+                return Answer(404, {"ledger_rev": self.revision})
+            value, stamp, hold = self.items[key]
+            return Answer(200, {"k": key, "value": value, "stamp": stamp, "hold": hold})
+        if parts.path == "/txn":
+            return self._transact(body)
+        if parts.path == "/grants":
+            grant, ttl = self.next_grant, body["ttl_ms"] / 1000
+            self.next_grant += 1
+            self.grants[grant] = (ttl, self.loop.now + ttl)
+            return Answer(200, {"hold": grant})
+        if parts.path.startswith("/grants/"):
+            grant = int(parts.path.split("/")[2])
+            if grant not in self.grants:
+                return Answer(404, {})
+            if method == "DELETE":
+                self._end(grant)
+            else:
+                ttl = self.grants[grant][0]
+                self.grants[grant] = (ttl, self.loop.now + ttl)
+            return Answer(200, {})
+        return Answer(400, {"error": "malformed"})
+
+    def _page(self, query: dict[str, str]) -> Answer:
+        after = query.get("since", "")
+        keys = sorted(key for key in self.items if key.startswith(query["starts"]) and key > after)
+        most = int(query["most"])
+        pairs = [
+            {"k": key, "value": self.items[key][0], "stamp": self.items[key][1]} for key in keys[:most]
+        ]
+        return Answer(200, {"pairs": pairs, "has_next": len(keys) > most, "ledger_rev": self.revision})
+
+    def _transact(self, body: Any) -> Answer:
+        then = body.get("then", [])
+        if len(then) > self.most_ops or len(body["guards"]) > 4 * self.most_ops:
+            self.bad_requests.append("too many operations")
+            return Answer(400, {"error": "too many operations"})
+        for change in then:
+            if "put" in change and len(repr(change["value"])) > self.value_bytes * 1.2:
+                self.bad_requests.append("value too large")
+                return Answer(400, {"error": "value too large"})
+            if change.get("hold") is not None and change["hold"] not in self.grants:
+                return Answer(400, {"error": "no such lease"})
+        failed = [
+            one["k"] for one in body["guards"] if (self.items[one["k"]][1] if one["k"] in self.items else 0) != one["stamp"]
+        ]
+        if failed:
+            return Answer(409, {"failed": failed, "ledger_rev": self.revision})
+        if then:
+            self.revision += 1
+        for change in then:
+            if "put" in change:
+                self.items[change["put"]] = (change["value"], self.revision, change.get("hold"))
+                self._note(change["put"])
+            elif self.items.pop(change["delete"], None) is not None:
+                self._note(change["delete"])
+        return Answer(200, {"ledger_rev": self.revision})
+
+
+@dataclass
+class Rented:
+    name: str
+    build: str
+    zone: str
+    spot: bool
+    since: float
+    up_at: float
+    state: str = "starting"
+    listed_at: float = 0.0
+
+
+@dataclass
+class CloudStand(Service):
+    """Rents machines of given types, with a lagging list."""
+
+    loop: SimLoop
+    rng: random.Random
+    types: list[dict[str, Any]]
+    lag: float
+    capacity: dict[tuple[str, str, bool], int]
+    latency: float = 0.05
+    down: bool = False
+    machines: dict[str, Rented] = field(default_factory=dict)
+    requests: dict[str, list[str]] = field(default_factory=dict)
+    taken: list[tuple[float, str]] = field(default_factory=list)
+    deleted: list[str] = field(default_factory=list)
+    born: Any = None  # called with each machine that comes up
+    ended: Any = None  # called with the name of each that is gone
+    next_name: int = 1
+
+    def add(self, build: str, zone: str, spot: bool, boot: float) -> Rented:
+        name = f"m-{self.next_name:06d}"
+        self.next_name += 1
+        machine = Rented(name, build, zone, spot, self.loop.now, self.loop.now + boot)
+        machine.listed_at = self.loop.now + self.lag
+        self.machines[name] = machine
+        self.loop.call_later(boot, self._up, machine)
+        return machine
+
+    def _up(self, machine: Rented) -> None:
+        if machine.name in self.machines and machine.state == "starting":
+            machine.state = "running"
+            self.born(machine)
+
+    def apply(self, method: str, path: str, body: Any) -> Answer:
+        parts = urlsplit(path)
+        if parts.path == "/flavors":
+            return Answer(200, {"builds": self.types})
+        if parts.path == "/hosts/delete":
+            for name in body["looms"]:
+                if self.machines.pop(name, None) is not None:
+                    self.deleted.append(name)
+                    self.ended(name)
+            return Answer(200, {})
+        if method == "POST":
+            return self._rent(body)
+        return self._list(parse_qs(parts.query))
+
+    def _rent(self, body: Any) -> Answer:
+        if body["hire"] in self.requests:
+            return Answer(200, {"looms": self.requests[body["hire"]]})
+        kind = (body["build"], body["yard"], body["loaners"])
+        used = sum(1 for m in self.machines.values() if (m.build, m.zone, m.spot) == kind)
+        count = min(body["how_many"], self.capacity.get(kind, 0) - used)
+        if count <= 0:
+            return Answer(503, {"error": "no capacity"})
+        boot = next(kind["ready_s"] for kind in self.types if kind["name"] == body["build"])
+        names = [self.add(*kind, boot * self.rng.uniform(0.6, 1.5)).name for _ in range(count)]
+        self.requests[body["hire"]] = names
+        return Answer(200, {"looms": names})
+
+    def _list(self, query: dict[str, list[str]]) -> Answer:
+        after = query.get("since", [""])[0]
+        shown = [
+            {
+                "name_id": m.name, "endpoint": f"10.1.0.{int(m.name[2:])}:9000", "build": m.build, "yard": m.zone,
+                "loaners": m.spot, "status": m.state, "held_s": self.loop.now - m.since,
+            }
+            for m in self.machines.values()
+            if m.listed_at <= self.loop.now and m.name > after
+        ]
+        return Answer(200, {"looms": shown, "has_next": False})
--- /dev/null
+++ b/tests/world/workers.py
@@ -0,0 +1,192 @@
+"""A stand-in worker: reports, obeys, fetches, runs, and kills its tasks when its lease ends."""
+
+import asyncio
+import random
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from typing import Any
+
+import cbor2
+
+from elmthread.common.http import Request, Response
+from tests.world.loop import SimLoop
+from tests.world.rules import Rules
+
+
+@dataclass
+class Running:
+    name: str
+    attempt: int
+    state: str = "fetching"
+    why: str | None = None
+    until: float = 0.0
+
+
+Send = Callable[[str, str, Request], Awaitable[Response]]
+
+
+class Worker:
+    def __init__(
+        self,
+        loop: SimLoop,
+        rng: random.Random,
+        rules: Rules,
+        send: Send,
+        nodes: list[str],
+        name: str,
+        build: dict[str, Any],
+        zone: str,
+        spot: bool,
+        report_s: float,
+        lease_s: float,
+    ) -> None:
+        self.loop, self.rng, self.rules, self.send, self.nodes = loop, rng, rules, send, nodes
+        self.name, self.build, self.zone, self.spot = name, build, zone, spot
+        self.report_s, self.lease_s = report_s, lease_s
+        self.session, self.sequence, self.token = 1, 0, 0
+        self.tasks: dict[tuple[str, int], Running] = {}
+        self.results: set[str] = set()
+        self.images: set[str] = set()
+        self.granted = loop.now
+        self.alive = True
+        self.hung = False
+        self.sick = False
+        self.node = rng.choice(nodes)
+        self.change = asyncio.Event()
+        self.jobs = [loop.create_task(self._report()), loop.create_task(self._work())]
+
+    def gone(self) -> None:
+        self.alive = False
+        for job in self.jobs:
+            job.cancel()
+        self._forget()
+
+    def _forget(self) -> None:
+        for task in self.tasks.values():
+            self.rules.off(self.name, task.name)
+        self.tasks.clear()
+
+    async def _work(self) -> None:
+        """Steps its tasks along, and its lease."""
+        while True:
+            await asyncio.sleep(0.1)
+            if self.hung:
+                continue
+            now = self.loop.now
+            if now - self.granted > self.lease_s:
+                self._forget()
+                self.session += 1
+                self.granted = now
+                self.change.set()
+            for task in self.tasks.values():
+                if task.state == "exited" or now < task.until:
+                    continue
+                if task.state == "fetching":
+                    spec = self.rules.specs[task.name.rpartition("/")[0]]
+                    self.images.add(spec["kit"])
+                    task.state = "running"
+                    task.until = now + (0 if task.name in self.results else spec["true_s"] * self.rng.uniform(0.9, 1.1))
+                    self.rules.on(self.name, task.name, self.build["name"], self.zone, self.spot)
+                    if self.sick:
+                        self._exit(task, "error")
+                else:
+                    if task.state == "running":
+                        self.results.add(task.name)
+                        self.rules.completed(task.name)
+                    self._exit(task, "done" if task.state == "running" else "halted")
+                self.change.set()
+
+    def _exit(self, task: Running, why: str) -> None:
+        task.state, task.why = "exited", why
+        self.rules.off(self.name, task.name)
+
+    def _body(self) -> dict[str, Any]:
+        self.sequence += 1
+        tasks = []
+        for task in self.tasks.values():
+            entry: dict[str, Any] = {"piece": task.name, "try": task.attempt, "status": task.state}
+            if task.why:
+                entry["cause"] = task.why
+            tasks.append(entry)
+        return {
+            "loom": self.name, "endpoint": "10.1.0.1:9000", "build": self.build["name"], "yard": self.zone,
+            "loaners": self.spot, "shift": self.session, "tally": self.sequence, "baton": self.token,
+            "recall_s": None, "pieces": tasks,
+        }
+
+    async def _report(self) -> None:
+        while True:
+            if self.hung:
+                await asyncio.sleep(0.1)
+                continue
+            sent, session = self.loop.now, self.session
+            self.change.clear()
+            request = Request("POST", "/agent/beat", {}, cbor2.dumps(self._body()))
+            status, body = 0, None
+            try:
+                async with asyncio.timeout(4):
+                    response = await self.send(self.name, self.node, request)
+                    status, body = response.status, response.body
+            except (TimeoutError, ConnectionError):
+                pass
+            if self.hung or not self.alive:
+                continue
+            if status == 200 and self.loop.now - sent < 4:
+                self._answered(body, sent, session)
+                # Not more often than each half second, and after report_s at the latest.
+                await asyncio.sleep(0.5)
+                try:
+                    async with asyncio.timeout(self.report_s * self.rng.uniform(0.75, 1.25) - 0.5):
+                        await self.change.wait()
+                except TimeoutError:
+                    pass
+                continue
+            leader = body.get("foreman") if status == 421 and isinstance(body, dict) else None
+            if leader in self.nodes and leader != self.node:
+                self.node = leader
+                await asyncio.sleep(0.2)
+            else:
+                self.node = self.nodes[(self.nodes.index(self.node) + 1) % len(self.nodes)]
+                await asyncio.sleep(1)
+
+    def _answered(self, body: Any, sent: float, session: int) -> None:
+        token = body.get("baton")
+        if token is None or token < self.token or session != self.session:
+            return
+        if token > self.token:
+            self.token = token
+            self.change.set()
+        self.granted = max(self.granted, sent)
+        for order in body["orders"]:
+            self._obey(order)
+
+    def _obey(self, order: dict[str, Any]) -> None:
+        key = (order["piece"], order["try"])
+        task = self.tasks.get(key)
+        if order["verb"] == "start":
+            if task is None:
+                self._start(*key)
+        elif order["verb"] == "halt":
+            if task is not None and task.state != "exited":
+                if order["wind_down_s"] > 0 and task.state == "running":
+                    task.state, task.until = "saving", self.loop.now + 1
+                elif task.state != "saving" or order["wind_down_s"] == 0:
+                    self._exit(task, "halted")
+        elif order["verb"] == "reap" and task is not None and task.state == "exited":
+            del self.tasks[key]
+        self.change.set()
+
+    def _start(self, name: str, attempt: int) -> None:
+        task = self.tasks[name, attempt] = Running(name, attempt)
+        spec = self.rules.specs.get(name.rpartition("/")[0])
+        live = [other for other in self.tasks.values() if other.state != "exited" and other is not task]
+        if spec is None:
+            task.state, task.why = "exited", "no_such"
+        elif any(other.name == name for other in live):
+            task.state, task.why = "exited", "in_use"
+        else:
+            used = sum(self.rules.specs[other.name.rpartition("/")[0]]["cpus"] for other in live)
+            if used + spec["cpus"] > self.build["cpus"] + 1e-6:
+                task.state, task.why = "exited", "no_room"
+            else:
+                task.until = self.loop.now + (0.0 if spec["kit"] in self.images else 2.0)
--- /dev/null
+++ b/tests/world/world.py
@@ -0,0 +1,259 @@
+"""Controllers, state service, cloud, workers and users together in one simulated world."""
+
+import asyncio
+import random
+from datetime import timedelta
+from typing import Any
+
+import cbor2
+
+from elmthread.common.http import Request, Response
+from elmthread.controller import Controller
+from elmthread.peers.link import NotReached, Peers
+from elmthread.peers.messages import Ask, Reply
+from elmthread.settings import operators, platform
+from tests.world.loop import SimLoop
+from tests.world.rules import Rules
+from tests.world.services import CloudStand, Port, Rented, StateStore, Trouble
+from tests.world.workers import Worker
+
+NODES = ["loom-0", "loom-1", "loom-2"]
+ZONES = ["east", "north", "west"]
+TYPES: list[dict[str, Any]] = [
+    {
+        "name": "small", "cpus": 4.0, "cards": 0.0, "ram_gb": 16.0, "cache_gb": 40.0, "fetch_gb_per_s": 0.5,
+        "rate": 0.2, "spot_price": 0.08, "ready_s": 10.0, "yards": ZONES,
+    },
+    {
+        "name": "large", "cpus": 16.0, "cards": 0.0, "ram_gb": 64.0, "cache_gb": 80.0, "fetch_gb_per_s": 1.0,
+        "rate": 0.9, "spot_price": 0.3, "ready_s": 12.0, "yards": ZONES[:2],
+    },
+]
+SETTINGS = """
+node_name = "{node}"
+site = "east"
+serve_on = "10.0.0.1:8080"
+peer_listen = "10.0.0.1:8081"
+{others}
+[endpoints]
+cloud = "10.2.0.2:8443"
+state = "10.2.0.1:2379"
+[facts]
+zones = ["east", "north", "west"]
+time_bound_ms = 25.0
+[[facts.teams]]
+name = "red"
+cpus = 8.0
+cpus_max = 12.0
+[[facts.teams]]
+name = "blue"
+cpus = 0.0
+cpus_max = 0.0
+[[facts.objectives]]
+kind = "finished"
+class = "nightly"
+within_s = 120.0
+share = 0.9
+[facts.workers]
+report_s = 3.0
+lease_s = 12.0
+cancel_s = 30.0
+[facts.state]
+rps = 120.0
+write_rps = 30.0
+value_kb = 8.0
+txn_ops = 8
+[facts.cloud]
+rps = 4.0
+list_lag_s = 3.0
+[facts.limits]
+cores = 0.5
+ram_mb = 200.0
+max_connections = 500
+"""
+
+
+def settings(node: str) -> platform.Platform:
+    others = "".join(
+        f'[[others]]\nnode_name = "{other}"\nsite = "east"\naddress = "10.0.0.1:8081"\n'
+        for other in NODES
+        if other != node
+    )
+    return platform.parse(SETTINGS.format(node=node, others=others))
+
+
+def job(number: int, **changes: Any) -> dict[str, Any]:
+    return {
+        "name_id": f"run-{number:06d}", "docket": "nightly", "crew": "blue", "form": "batch", "urgency": "normal",
+        "pieces": 4, "cpus": 1.0, "cards": 0.0, "ram_gb": 1.0, "kit": "img-1", "size_gb": 1.0, "builds": None,
+        "yard": None, "one_zone": False, "scatter": False, "loaners": True, "expected_s": 8.0,
+        "snapshot_every_s": 0.0, "snapshot_s": 0.0, "due_s": None, "true_s": 8.0,
+    } | changes
+
+
+class World:
+    def __init__(self, seed: int = 1) -> None:
+        self.loop = SimLoop()
+        asyncio.set_event_loop(self.loop)
+        self.rng = random.Random(seed)
+        random.seed(seed)
+        self.rules = Rules(self.loop, {"red": 12.0, "blue": float("inf")}, 30.0)
+        self.store = StateStore(self.loop, self.rng, 8, 8 * 1024)
+        capacity = {(t["name"], zone, spot): 3 for t in TYPES for zone in ZONES for spot in (True, False)}
+        self.cloud = CloudStand(self.loop, self.rng, TYPES, 3.0, capacity)
+        self.cloud.born = self._born
+        self.cloud.ended = self._ended
+        self.workers: dict[str, Worker] = {}
+        self.controllers: dict[str, Controller] = {}
+        self.ports: dict[str, list[Port]] = {}
+        self.tasks: dict[str, asyncio.Task[None]] = {}
+        self.cut_nodes: set[str] = set()
+        self.cut_workers: set[tuple[str, str]] = set()
+        self.drift = {node: self.rng.uniform(-0.0005, 0.0005) for node in NODES}
+
+    # Controllers
+
+    def start(self, node: str) -> Controller:
+        world = self
+
+        class Links(Peers):
+            """Peer links without sockets."""
+
+            def reaches(self, other: str) -> bool:
+                return world.reach(node, other)
+
+            async def ask(self, other: str, ask: Ask, timeout: timedelta) -> Reply:
+                await asyncio.sleep(0.002)
+                if not world.reach(node, other):
+                    raise NotReached(other)
+                try:
+                    async with asyncio.timeout(timeout.total_seconds()):
+                        reply = await world.controllers[other].api.answer(ask)
+                except TimeoutError:
+                    raise NotReached(other) from None
+                if not world.reach(node, other):
+                    raise NotReached(other)
+                return reply
+
+            def tell(self) -> None:
+                lead = self._say()
+                for other in NODES:
+                    if other != node and world.reach(node, other):
+                        world.loop.call_later(0.003, world.controllers[other].election.hear, lead.token, lead.leader)
+
+        self.ports[node] = [Port(self.store, Trouble()), Port(self.cloud, Trouble())]
+        state, cloud = self.ports[node]
+        controller = Controller(
+            settings(node), operators.Operators(operators.Raw()), lambda: self.loop.clock(self.drift[node]),
+            state, cloud, Links,
+        )
+        self.controllers[node] = controller
+        self.tasks[node] = self.loop.create_task(controller.election.run())
+        return controller
+
+    def kill(self, node: str) -> None:
+        """The process ends without a word."""
+        for port in self.ports[node]:
+            port.trouble.dead = True
+        controller = self.controllers.pop(node)
+        self.tasks.pop(node).cancel()
+        if controller._leading is not None:
+            controller._leading.cancel()
+
+    def reach(self, one: str, other: str) -> bool:
+        return (
+            one in self.controllers and other in self.controllers and not {one, other} & self.cut_nodes
+        )
+
+    @property
+    def leader(self) -> Controller | None:
+        return next((c for c in self.controllers.values() if c.leader is not None), None)
+
+    # Workers
+
+    def _born(self, machine: Rented) -> None:
+        build = next(kind for kind in TYPES if kind["name"] == machine.build)
+        self.workers[machine.name] = Worker(
+            self.loop, self.rng, self.rules, self._send, NODES, machine.name, build, machine.zone, machine.spot, 3.0, 12.0
+        )
+
+    def _ended(self, name: str) -> None:
+        worker = self.workers.pop(name, None)
+        if worker is not None:
+            worker.gone()
+
+    async def _send(self, worker: str, node: str, request: Request) -> Response:
+        await asyncio.sleep(self.rng.uniform(0.001, 0.01))
+        if self._hangs(worker, node):
+            await asyncio.sleep(60)
+        if node not in self.controllers:
+            raise ConnectionError(node)
+        response = await self.controllers[node].api.handle(request)
+        # The answer may be lost on its way, and the request may have been sent before.
+        if self._hangs(worker, node) or self.rng.random() < 0.01:
+            await asyncio.sleep(60)
+        await asyncio.sleep(self.rng.uniform(0.001, 0.01))
+        return response
+
+    def _hangs(self, worker: str, node: str) -> bool:
+        return node in self.cut_nodes or (worker, node) in self.cut_workers
+
+    # Users
+
+    async def ask(self, method: str, path: str, body: Any = None, node: str | None = None) -> Response:
+        up = [name for name in self.controllers if name not in self.cut_nodes]
+        if not up:
+            return Response(503)
+        name = node or self.rng.choice(up)
+        try:
+            async with asyncio.timeout(5):
+                return await self.controllers[name].api.handle(Request(method, path, {}, cbor2.dumps(body)))
+        except (TimeoutError, KeyError):
+            return Response(504)
+
+    async def submit(self, spec: dict[str, Any], patience: float = 60.0) -> bool:
+        self.rules.submitted(spec)
+        end = self.loop.now + patience
+        while self.loop.now < end:
+            response = await self.ask("POST", "/submissions", spec)
+            self.rules.heard(spec["name_id"], response.status, (response.body or {}).get("status"))
+            if response.status in (200, 201):
+                return True
+            if response.status in (400, 422):
+                return False
+            await asyncio.sleep(1)
+        return False
+
+    async def poll(self, job_id: str) -> str | None:
+        response = await self.ask("GET", f"/submissions/{job_id}")
+        state = (response.body or {}).get("status")
+        self.rules.heard(job_id, response.status, state)
+        return state
+
+    async def withdraw(self, job_id: str, patience: float = 60.0) -> str | None:
+        self.rules.asked_to_cancel.add(job_id)
+        end = self.loop.now + patience
+        while self.loop.now < end:
+            response = await self.ask("POST", f"/submissions/{job_id}/withdraw")
+            state = (response.body or {}).get("status")
+            self.rules.heard(job_id, response.status, state)
+            if response.status == 200:
+                return str(state)
+            await asyncio.sleep(1)
+        return None
+
+    async def until_over(self, job_ids: list[str], patience: float) -> dict[str, str | None]:
+        end = self.loop.now + patience
+        states: dict[str, str | None] = {}
+        while self.loop.now < end:
+            for job_id in job_ids:
+                if states.get(job_id) not in ("done", "cancelled"):
+                    states[job_id] = await self.poll(job_id)
+            if all(state in ("done", "cancelled") for state in states.values()):
+                break
+            self.rules.check_cancelled()
+            await asyncio.sleep(1)
+        return states
+
+    def rent(self, build: str, zone: str, spot: bool = False, boot: float = 0.5) -> None:
+        self.cloud.add(build, zone, spot, boot)
