Cores count only for work that may use them; late groups get a second chance

Cause: a job that allows no spot machine waited for ever in generated histories: its group was past saving, so it was skipped, and spot cores it may not use made it look served. Ruled out: quota and lost holds (the job had neither).

--- a/src/elmthread/sizing/service.py
+++ b/src/elmthread/sizing/service.py
@@ -4,6 +4,7 @@
 import math
 from collections import deque
 from datetime import timedelta
+from typing import Any
 
 from elmthread.common.clock import Clock, seconds
 from elmthread.fleet.service import Fleet, Kind
@@ -20,6 +21,8 @@
 GROUP = 20.0
 # A group is to end within this part of its time: estimates are rough, and starts take a moment.
 MARGIN = 0.75
+# What can't be saved any more is to end within this many times the soonest possible.
+SECOND_CHANCE = 1.5
 # Boots take up to half again as long as the cloud says.
 BOOT = 1.2
 # Urgent demand is remembered for this long to track theta.
@@ -61,77 +64,107 @@
     # Deferrable pressure
 
     def _for_groups(self, wants: list[Want], rooms: dict[str, Room], now: timedelta) -> None:
-        waiting = [want for want in wants if not want.urgent]
-        if not waiting:
+        waiting = [want for want in wants if not want.urgent or not self._has_a_place(want)]
+        if not any(not want.urgent for want in wants):
             self._return_pool(now)
-            return
-        groups, usable = self._groups(waiting, rooms, now)
-        supplies = self._supplies(now)
-        usable -= sum(supply.cores for supply in supplies) - self._busy_cores()
+        # Cores count only for work that may use them: jobs are judged together with those
+        # that allow the same machines. Otherwise cores of the wrong kind, or in pieces too
+        # small for a task, would make a group look on time that can't start at all.
+        kinds: dict[tuple[Any, ...], list[Want]] = {}
+        for want in waiting:
+            kinds.setdefault((want.types, want.zone, want.spot, want.cpus, want.cards), []).append(want)
+        alike: dict[tuple[Any, ...], list[Want]] = {}
+        for group in kinds.values():
+            alike.setdefault(self._places(group[0]), []).extend(group)
+        for together in alike.values():
+            self._rent_for(together, rooms, now)
+
+    def _has_a_place(self, want: Want) -> bool:
+        """Whether some machine, up or coming, could take the tasks at all."""
+        return bool(self._places(want))
+
+    def _places(self, want: Want) -> tuple[str, ...]:
+        return tuple(
+            machine.name
+            for machine in self._book.machines.values()
+            if _serves(machine)
+            and allowed(want, machine.build, machine.zone, machine.spot)
+            and want.cpus <= machine.cpus
+            and want.cards <= machine.cards
+            and want.ram <= machine.ram
+        )
+
+    def _rent_for(self, waiting: list[Want], rooms: dict[str, Room], now: timedelta) -> None:
         offers = self._offers(waiting)
-        chosen = fewest(groups, supplies, self._ahead(now), offers, usable)
+        if not offers:
+            return
+        groups, usable = self._groups(waiting, rooms, now, min(offer.boot for offer in offers))
+        places = set(self._places(waiting[0]))
+        supplies = self._supplies(places, waiting[0], now)
+        busy, ahead = self._running(places, now)
+        usable -= sum(supply.cores for supply in supplies) - busy
         counts: dict[Kind, int] = {}
-        for offer in chosen:
+        for offer in fewest(groups, supplies, ahead, offers, usable):
             kind = Kind(offer.build, offer.zone, offer.spot)
             counts[kind] = counts.get(kind, 0) + 1
         for kind, count in counts.items():
             self._fleet.order(kind, count, pool=True)
 
-    def _groups(self, waiting: list[Want], rooms: dict[str, Room], now: timedelta) -> tuple[list[Group], float]:
+    def _groups(
+        self, waiting: list[Want], rooms: dict[str, Room], now: timedelta, boot: float
+    ) -> tuple[list[Group], float]:
         """Waiting deferrable tasks by deadline, and the cores they could use at once."""
         by_due: dict[int, Group] = {}
         team_cores: dict[str, float] = {}
         for want in waiting:
             job = self._book.jobs[want.job]
-            due = (job.since + job.deadline * MARGIN - now).total_seconds()
             each = self.expected(job).total_seconds()
             room = max(0.0, rooms[want.team].cpus - team_cores.get(want.team, 0.0))
             cores = min(room, want.count * want.cpus)
             team_cores[want.team] = team_cores.get(want.team, 0.0) + cores
+            # A team at its limit still uses its share as its running tasks end.
+            usable = max(cores, want.cpus)
+            work = want.count * want.cpus * each
+            due = (job.since + job.deadline * MARGIN - now).total_seconds()
+            soonest = boot + max(each, work / usable)
+            if due < soonest:
+                # Can't be saved, so it is no reason to hurry; but it must not wait for ever.
+                due = soonest * SECOND_CHANCE
             group = by_due.setdefault(math.floor(due / GROUP), Group(due, 0.0, 0.0, 0.0))
             group.due = min(group.due, due)
-            group.work += want.count * want.cpus * each
+            group.work += work
             group.longest = max(group.longest, each)
-            # A team at its limit still uses its share as its running tasks end.
-            group.usable += max(cores, want.cpus)
+            group.usable += usable
         return [by_due[key] for key in sorted(by_due)], sum(team_cores.values())
 
-    def _supplies(self, now: timedelta) -> list[Supply]:
+    def _supplies(self, places: set[str], want: Want, now: timedelta) -> list[Supply]:
         supplies = []
         for machine in self._book.machines.values():
-            if machine.state is MachineState.UP and machine.open:
+            if machine.name not in places:
+                continue
+            if machine.state is MachineState.UP:
                 urgent = sum(hold.job.spec.cpus for hold in machine.holds.values() if hold.job.urgent)
                 supplies.append(Supply(0.0, machine.cpus - urgent))
-            elif machine.state is MachineState.BOOTING:
-                kind = self._fleet.types.get(machine.build)
-                if kind is not None:
-                    age = (now - machine.known_since).total_seconds()
-                    if age < kind.boot_s * 2:
-                        supplies.append(Supply(max(1.0, kind.boot_s * BOOT - age), machine.cpus))
+                continue
+            kind = self._fleet.types[machine.build]
+            age = (now - machine.known_since).total_seconds()
+            if age < kind.boot_s * 2:
+                supplies.append(Supply(max(1.0, kind.boot_s * BOOT - age), machine.cpus))
         for order in self._fleet.orders.values():
-            kind = self._fleet.types.get(order.kind.build)
-            if kind is not None:
-                supplies.append(Supply(kind.boot_s * BOOT, kind.cpus * order.count))
+            coming = self._fleet.types.get(order.kind.build)
+            if coming is not None and allowed(want, order.kind.build, order.kind.zone, order.kind.spot):
+                supplies.append(Supply(coming.boot_s * BOOT, coming.cpus * order.count))
         return supplies
 
-    def _busy_cores(self) -> float:
-        return sum(
-            hold.job.spec.cpus
-            for machine in self._book.machines.values()
-            if machine.open
-            for hold in machine.holds.values()
-            if not hold.job.urgent
-        )
-
-    def _ahead(self, now: timedelta) -> float:
-        """Core-seconds that running deferrable tasks still take."""
-        return sum(
-            hold.job.spec.cpus * self._left(hold, now)
-            for machine in self._book.machines.values()
-            if machine.open
-            for hold in machine.holds.values()
-            if not hold.job.urgent
-        )
+    def _running(self, places: set[str], now: timedelta) -> tuple[float, float]:
+        """Cores that deferrable tasks hold, and the core-seconds that they still take."""
+        cores = work = 0.0
+        for name in places:
+            for hold in self._book.machines[name].holds.values():
+                if not hold.job.urgent:
+                    cores += hold.job.spec.cpus
+                    work += hold.job.spec.cpus * self._left(hold, now)
+        return cores, work
 
     def _left(self, hold: Hold, now: timedelta) -> float:
         whole = self.expected(hold.job).total_seconds()
@@ -237,3 +270,7 @@
         if empty:
             machine = max(empty, key=lambda m: m.price / m.cpus if m.cpus else 0.0)
             self._fleet.give_up(machine, "not needed")
+
+
+def _serves(machine: Machine) -> bool:
+    return machine.state is MachineState.BOOTING or (machine.state is MachineState.UP and machine.open)
--- a/tests/test_world.py
+++ b/tests/test_world.py
@@ -4,7 +4,7 @@
 from collections.abc import Awaitable, Callable
 
 import pytest
-from hypothesis import HealthCheck, given, seed, settings
+from hypothesis import HealthCheck, Phase, given, settings
 from hypothesis import strategies as st
 
 from tests.world.loop import play
@@ -185,8 +185,15 @@
 TROUBLES = ["kill", "kill_all", "outage", "refused", "cut", "hang", "die", "lossy", "late", "cancel", "burst"]
 
 
-@seed(20261201)
-@settings(max_examples=25, deadline=None, suppress_health_check=list(HealthCheck))
+@settings(
+    max_examples=25,
+    deadline=None,
+    database=None,
+    derandomize=True,
+    # A failing history is told as it is: making it smaller takes minutes.
+    phases=[Phase.generate],
+    suppress_health_check=list(HealthCheck),
+)
 @given(
     st.integers(0, 10_000),
     st.lists(st.tuples(st.sampled_from(TROUBLES), st.floats(0.5, 15.0)), min_size=2, max_size=7),
@@ -233,9 +240,7 @@
         for name in list(world.controllers):
             world.kill(name)
         for name in NODES:
-            world.loop.call_later(
-                rng.uniform(0.1, 8), lambda name=name: name in world.controllers or world.start(name)
-            )
+            world.loop.call_later(rng.uniform(0.1, 8), lambda name=name: name in world.controllers or world.start(name))
     elif kind == "outage":
         world.store.outage(True)
         world.loop.call_later(rng.uniform(1, 20), world.store.outage, False)
--- a/tests/world/services.py
+++ b/tests/world/services.py
@@ -174,9 +174,7 @@
         after = query.get("since", "")
         keys = sorted(key for key in self.items if key.startswith(query["starts"]) and key > after)
         most = int(query["most"])
-        pairs = [
-            {"k": key, "value": self.items[key][0], "stamp": self.items[key][1]} for key in keys[:most]
-        ]
+        pairs = [{"k": key, "value": self.items[key][0], "stamp": self.items[key][1]} for key in keys[:most]]
         return Answer(200, {"pairs": pairs, "has_next": len(keys) > most, "ledger_rev": self.revision})
 
     def _transact(self, body: Any) -> Answer:
@@ -191,7 +189,9 @@
             if change.get("hold") is not None and change["hold"] not in self.grants:
                 return Answer(400, {"error": "no such lease"})
         failed = [
-            one["k"] for one in body["guards"] if (self.items[one["k"]][1] if one["k"] in self.items else 0) != one["stamp"]
+            one["k"]
+            for one in body["guards"]
+            if (self.items[one["k"]][1] if one["k"] in self.items else 0) != one["stamp"]
         ]
         if failed:
             return Answer(409, {"failed": failed, "ledger_rev": self.revision})
@@ -282,8 +282,13 @@
         after = query.get("since", [""])[0]
         shown = [
             {
-                "name_id": m.name, "endpoint": f"10.1.0.{int(m.name[2:])}:9000", "build": m.build, "yard": m.zone,
-                "loaners": m.spot, "status": m.state, "held_s": self.loop.now - m.since,
+                "name_id": m.name,
+                "endpoint": f"10.1.0.{int(m.name[2:])}:9000",
+                "build": m.build,
+                "yard": m.zone,
+                "loaners": m.spot,
+                "status": m.state,
+                "held_s": self.loop.now - m.since,
             }
             for m in self.machines.values()
             if m.listed_at <= self.loop.now and m.name > after
--- a/tests/world/workers.py
+++ b/tests/world/workers.py
@@ -70,14 +70,15 @@
         """Steps its tasks along, and its lease."""
         while True:
             await asyncio.sleep(0.1)
-            if self.hung:
-                continue
             now = self.loop.now
+            # A machine that hangs may go on within its lease; past that its tasks are dead.
             if now - self.granted > self.lease_s:
                 self._forget()
                 self.session += 1
                 self.granted = now
                 self.change.set()
+            if self.hung:
+                continue
             for task in self.tasks.values():
                 if task.state == "exited" or now < task.until:
                     continue
@@ -109,9 +110,16 @@
                 entry["cause"] = task.why
             tasks.append(entry)
         return {
-            "loom": self.name, "endpoint": "10.1.0.1:9000", "build": self.build["name"], "yard": self.zone,
-            "loaners": self.spot, "shift": self.session, "tally": self.sequence, "baton": self.token,
-            "recall_s": None, "pieces": tasks,
+            "loom": self.name,
+            "endpoint": "10.1.0.1:9000",
+            "build": self.build["name"],
+            "yard": self.zone,
+            "loaners": self.spot,
+            "shift": self.session,
+            "tally": self.sequence,
+            "baton": self.token,
+            "recall_s": None,
+            "pieces": tasks,
         }
 
     async def _report(self) -> None:
--- a/tests/world/world.py
+++ b/tests/world/world.py
@@ -21,12 +21,28 @@
 ZONES = ["east", "north", "west"]
 TYPES: list[dict[str, Any]] = [
     {
-        "name": "small", "cpus": 4.0, "cards": 0.0, "ram_gb": 16.0, "cache_gb": 40.0, "fetch_gb_per_s": 0.5,
-        "rate": 0.2, "spot_price": 0.08, "ready_s": 10.0, "yards": ZONES,
+        "name": "small",
+        "cpus": 4.0,
+        "cards": 0.0,
+        "ram_gb": 16.0,
+        "cache_gb": 40.0,
+        "fetch_gb_per_s": 0.5,
+        "rate": 0.2,
+        "spot_price": 0.08,
+        "ready_s": 10.0,
+        "yards": ZONES,
     },
     {
-        "name": "large", "cpus": 16.0, "cards": 0.0, "ram_gb": 64.0, "cache_gb": 80.0, "fetch_gb_per_s": 1.0,
-        "rate": 0.9, "spot_price": 0.3, "ready_s": 12.0, "yards": ZONES[:2],
+        "name": "large",
+        "cpus": 16.0,
+        "cards": 0.0,
+        "ram_gb": 64.0,
+        "cache_gb": 80.0,
+        "fetch_gb_per_s": 1.0,
+        "rate": 0.9,
+        "spot_price": 0.3,
+        "ready_s": 12.0,
+        "yards": ZONES[:2],
     },
 ]
 SETTINGS = """
@@ -84,10 +100,27 @@
 
 def job(number: int, **changes: Any) -> dict[str, Any]:
     return {
-        "name_id": f"run-{number:06d}", "docket": "nightly", "crew": "blue", "form": "batch", "urgency": "normal",
-        "pieces": 4, "cpus": 1.0, "cards": 0.0, "ram_gb": 1.0, "kit": "img-1", "size_gb": 1.0, "builds": None,
-        "yard": None, "one_zone": False, "scatter": False, "loaners": True, "expected_s": 8.0,
-        "snapshot_every_s": 0.0, "snapshot_s": 0.0, "due_s": None, "true_s": 8.0,
+        "name_id": f"run-{number:06d}",
+        "docket": "nightly",
+        "crew": "blue",
+        "form": "batch",
+        "urgency": "normal",
+        "pieces": 4,
+        "cpus": 1.0,
+        "cards": 0.0,
+        "ram_gb": 1.0,
+        "kit": "img-1",
+        "size_gb": 1.0,
+        "builds": None,
+        "yard": None,
+        "one_zone": False,
+        "scatter": False,
+        "loaners": True,
+        "expected_s": 8.0,
+        "snapshot_every_s": 0.0,
+        "snapshot_s": 0.0,
+        "due_s": None,
+        "true_s": 8.0,
     } | changes
 
 
@@ -144,8 +177,12 @@
         self.ports[node] = [Port(self.store, Trouble()), Port(self.cloud, Trouble())]
         state, cloud = self.ports[node]
         controller = Controller(
-            settings(node), operators.Operators(operators.Raw()), lambda: self.loop.clock(self.drift[node]),
-            state, cloud, Links,
+            settings(node),
+            operators.Operators(operators.Raw()),
+            lambda: self.loop.clock(self.drift[node]),
+            state,
+            cloud,
+            Links,
         )
         self.controllers[node] = controller
         self.tasks[node] = self.loop.create_task(controller.election.run())
@@ -161,9 +198,7 @@
             controller._leading.cancel()
 
     def reach(self, one: str, other: str) -> bool:
-        return (
-            one in self.controllers and other in self.controllers and not {one, other} & self.cut_nodes
-        )
+        return one in self.controllers and other in self.controllers and not {one, other} & self.cut_nodes
 
     @property
     def leader(self) -> Controller | None:
@@ -174,7 +209,17 @@
     def _born(self, machine: Rented) -> None:
         build = next(kind for kind in TYPES if kind["name"] == machine.build)
         self.workers[machine.name] = Worker(
-            self.loop, self.rng, self.rules, self._send, NODES, machine.name, build, machine.zone, machine.spot, 3.0, 12.0
+            self.loop,
+            self.rng,
+            self.rules,
+            self._send,
+            NODES,
+            machine.name,
+            build,
+            machine.zone,
+            machine.spot,
+            3.0,
+            12.0,
         )
 
     def _ended(self, name: str) -> None:
