--- a/src/elmthread/controller.py
+++ b/src/elmthread/controller.py
@@ -109,6 +109,7 @@
             election.leads,
             self._next_rental,
             self.changed,
+            self._lacking,
         )
         self.intake = Intake(
             self.book,
@@ -136,10 +137,14 @@
         self.sizing = Sizing(self.book, self.fleet, self.placement, self.work, operators, clock)
         self.loaded = False
         self._change = asyncio.Event()
+        self._shortfall = asyncio.Event()
 
     def changed(self) -> None:
         self._change.set()
 
+    def _lacking(self) -> None:
+        self._shortfall.set()
+
     def _next_attempt(self) -> int:
         self._attempts += 1
         return self._attempts
@@ -307,7 +312,12 @@
         while True:
             if self._election.leads():
                 self.sizing.round()
-            await asyncio.sleep(self._operators.check.total_seconds())
+            self._shortfall.clear()
+            try:
+                async with asyncio.timeout(self._operators.check.total_seconds()):
+                    await self._shortfall.wait()
+            except TimeoutError:
+                pass
 
     def stop(self) -> None:
         self.writer.stop()
--- a/src/elmthread/fleet/service.py
+++ b/src/elmthread/fleet/service.py
@@ -31,8 +31,8 @@
 TICK = seconds(0.2)
 TYPES_EVERY = seconds(60)
 # A type, zone and kind that was refused is not asked for again so soon.
-REFUSED = seconds(15)
-REFUSED_MOST = seconds(60)
+REFUSED = seconds(40)
+REFUSED_MOST = seconds(160)
 # A listed machine that many good lists in a row leave out is deleted to be sure.
 MISSING = 3
 # A machine that has not come up after this many times its usual boot time is given up.
@@ -72,6 +72,7 @@
         leads: Callable[[], bool],
         next_name: Callable[[], str],
         changed: Callable[[], None],
+        lacking: Callable[[], None],
     ) -> None:
         self._book = book
         self._cloud = cloud
@@ -83,6 +84,7 @@
         self._leads = leads
         self._next_name = next_name
         self._changed = changed
+        self._lacking = lacking
         self.types: dict[str, messages.Type] = {}
         self.orders: dict[str, Order] = {}
         self._ready: deque[Order] = deque()
@@ -243,8 +245,8 @@
         try:
             names = await self._cloud.rent(order.name, kind.build, kind.zone, kind.spot, order.count)
         except NoCapacity:
-            self._refuse(kind)
             self._over(order)
+            self._refuse(kind)
             return
         except Trouble as error:
             log.info("rental: %s", error)
@@ -255,10 +257,6 @@
                 self._over(order)
             return
         now = self._clock()
-        if len(names) < order.count:
-            self._refuse(kind)
-        else:
-            self._refused.pop(kind, None)
         for name in names:
             if name in self._book.gone:
                 continue
@@ -269,12 +267,18 @@
                 self._book.machines[name] = machine
             machine.pool = order.pool
         self._over(order)
+        if len(names) < order.count:
+            self._refuse(kind)
+        else:
+            self._refused.pop(kind, None)
 
     def _refuse(self, kind: Kind) -> None:
         _, pause = self._refused.get(kind, (None, REFUSED / 2))
         pause = min(pause * 2, REFUSED_MOST)
         log.info("no capacity for %s", kind)
         self._refused[kind] = (self._clock() + pause, pause)
+        # Asked elsewhere at once: the next check would only find the same shortfall later.
+        self._lacking()
 
     def _over(self, order: Order) -> None:
         self.orders.pop(order.name, None)
@@ -305,6 +309,7 @@
             machine.move(MachineState.GONE)
             self._book.drop_all(machine, now)
             self._book.gone.add(name)
+            self._refused.pop(Kind(machine.build, machine.zone, machine.spot), None)
             self._missing.pop(name, None)
             self._writer.delete(machine_key(name))
         self._changed()
--- a/src/elmthread/sizing/decide.py
+++ b/src/elmthread/sizing/decide.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from enum import Enum, auto
+from itertools import cycle
 
 # All times here are seconds from now: the view is made, judged and thrown away in one step.
 
@@ -133,15 +134,21 @@
 
     chosen: list[Offer] = []
     # The largest machines first: no other choice of as many machines has more cores. Those
-    # that boot sooner come first among equals, as do the cheaper.
-    ordered = sorted(offers, key=lambda offer: (-offer.cores, offer.boot, offer.price))
+    # that boot sooner come first among equals, as do the cheaper; zones take turns, since
+    # what a zone has left is not known before it is asked.
+    ranks: dict[tuple[float, float, float], list[Offer]] = {}
+    for offer in offers:
+        ranks.setdefault((-offer.cores, offer.boot, offer.price), []).append(offer)
     room = usable
-    for offer in ordered:
-        for _ in range(offer.most):
-            if saves(chosen) or len(chosen) >= most or room <= 0:
+    for rank in sorted(ranks):
+        left = {id(offer): offer.most for offer in ranks[rank]}
+        for offer in cycle(ranks[rank]):
+            if not any(left.values()) or len(chosen) >= most or room <= 0 or saves(chosen):
                 break
-            chosen.append(offer)
-            room -= offer.cores
+            if left[id(offer)]:
+                left[id(offer)] -= 1
+                chosen.append(offer)
+                room -= offer.cores
     return _cheapen(chosen, offers, saves)
 
 
--- a/tests/test_world.py
+++ b/tests/test_world.py
@@ -2,6 +2,8 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
+from functools import partial
+from typing import Any
 
 import pytest
 from hypothesis import HealthCheck, Phase, given, settings
@@ -161,11 +163,22 @@
 def test_answers_to_what_cannot_be_taken() -> None:
     async def script(world: World) -> None:
         await asyncio.sleep(3)
-        bad = [{"pieces": 0}, {"cpus": -1.0}, {"cpus": float("nan")}, {"urgency": "soon"}, {"form": "ring"}]
+        bad: list[dict[str, Any]] = [
+            {"pieces": 0},
+            {"cpus": -1.0},
+            {"cpus": float("nan")},
+            {"urgency": "soon"},
+            {"form": "ring"},
+        ]
         bad += [{"name_id": "x y"}, {"due_s": float("inf")}, {"one_zone": "yes"}, {"pieces": 200_000}]
         for change in bad:
             assert (await world.ask("POST", "/submissions", job(1, **change))).status == 400, change
-        never = [{"crew": "green"}, {"cpus": 17.0}, {"builds": ["huge"]}, {"builds": ["large"], "yard": "west"}]
+        never: list[dict[str, Any]] = [
+            {"crew": "green"},
+            {"cpus": 17.0},
+            {"builds": ["huge"]},
+            {"builds": ["large"], "yard": "west"},
+        ]
         never += [{"crew": "red", "cpus": 13.0}]
         for change in never:
             assert (await world.ask("POST", "/submissions", job(1, **change))).status == 422, change
@@ -230,17 +243,22 @@
     day(script, seed=number)
 
 
+def start(world: World, name: str) -> None:
+    if name not in world.controllers:
+        world.start(name)
+
+
 async def befall(world: World, kind: str, ids: list[str]) -> None:
     rng = world.rng
     if kind == "kill" and world.controllers:
         name = rng.choice(list(world.controllers))
         world.kill(name)
-        world.loop.call_later(rng.uniform(0.1, 8), lambda: name in world.controllers or world.start(name))
+        world.loop.call_later(rng.uniform(0.1, 8), partial(start, world, name))
     elif kind == "kill_all":
         for name in list(world.controllers):
             world.kill(name)
         for name in NODES:
-            world.loop.call_later(rng.uniform(0.1, 8), lambda name=name: name in world.controllers or world.start(name))
+            world.loop.call_later(rng.uniform(0.1, 8), partial(start, world, name))
     elif kind == "outage":
         world.store.outage(True)
         world.loop.call_later(rng.uniform(1, 20), world.store.outage, False)
