--- a/src/elmthread/sizing/service.py
+++ b/src/elmthread/sizing/service.py
@@ -65,8 +65,7 @@
 
     def _for_groups(self, wants: list[Want], rooms: dict[str, Room], now: timedelta) -> None:
         waiting = [want for want in wants if not want.urgent or not self._has_a_place(want)]
-        if not any(not want.urgent for want in wants):
-            self._return_pool(now)
+        self._return_pool(wants, now)
         # Cores count only for work that may use them: jobs are judged together with those
         # that allow the same machines. Otherwise cores of the wrong kind, or in pieces too
         # small for a task, would make a group look on time that can't start at all.
@@ -190,13 +189,22 @@
                         offers.append(Offer(kind.name, zone, spot, kind.cpus, price, kind.boot_s * BOOT))
         return offers
 
-    def _return_pool(self, now: timedelta) -> None:
-        """An idle deferrable pool goes back whole."""
+    def _return_pool(self, wants: list[Want], now: timedelta) -> None:
+        """An idle deferrable pool goes back whole; what of a busy one stays empty goes singly.
+
+        Singly is an exception to the design: one long task would else keep the whole pool.
+        """
         pool = [m for m in self._book.machines.values() if m.pool and m.state is MachineState.UP]
-        if pool and all(not m.holds and now - m.empty_since > IDLE for m in pool):
-            for machine in pool:
+        whole = not any(not want.urgent for want in wants) and all(not m.holds for m in pool)
+        for machine in pool:
+            if not machine.holds and now - machine.empty_since > (IDLE if whole else self._patience(machine)):
                 self._fleet.give_up(machine, "the pool is idle")
 
+    def _patience(self, machine: Machine) -> timedelta:
+        """How long an empty machine is kept: about as long as its like would take to boot."""
+        kind = self._fleet.types.get(machine.build)
+        return max(IDLE, seconds(kind.boot_s)) if kind is not None else IDLE
+
     # Urgent pressure
 
     def _urgent(self, wants: list[Want], rooms: dict[str, Room]) -> float:
