Jobs past saving wait behind their team's others

Cause: on athina 4 to 8 jobs of one team wait at its limit of 24 cores while machines have room; by deadline alone each ends a little late.

--- a/src/elmthread/placement/service.py
+++ b/src/elmthread/placement/service.py
@@ -9,6 +9,7 @@
 from elmthread.placement.book import Book, Hold, HoldState, Job, JobState, Machine, Stop
 from elmthread.placement.decide import Room, Slot, Victim, Want, place, preempt
 from elmthread.settings.platform import Team
+from elmthread.sizing.decide import Line, forsaken
 
 log = logging.getLogger(__name__)
 
@@ -71,8 +72,9 @@
     def wants(self, now: timedelta) -> list[Want]:
         """What waits, in the order in which it gets room."""
         guaranteed = self._guaranteed()
+        last = self._last(now)
         wants = [
-            self._want(job, job.id in guaranteed, now)
+            self._want(job, job.id in guaranteed, job.id in last, now)
             for job in self._book.open_jobs.values()
             if job.pending and job.stored is JobState.OPEN and job.retry_at <= now
         ]
@@ -93,11 +95,41 @@
                 inside.add(job.id)
         return inside
 
-    def _want(self, job: Job, guaranteed: bool, now: timedelta) -> Want:
+    def _last(self, now: timedelta) -> set[str]:
+        """Deferrable jobs that wait behind their team's others, so that the most end in time.
+
+        A team's limit is all it will ever get: where its work does not fit, which jobs are
+        late is a matter of order alone.
+        """
+        lines: dict[str, list[Line]] = {}
+        urgent: dict[str, float] = {}
+        for job in self._book.open_jobs.values():
+            team = self._teams.get(job.spec.team)
+            if team is None or not team.cpus_max:
+                continue
+            each = self._expected(job).total_seconds()
+            left = job.total - job.count_done
+            work = left * job.spec.cpus * each
+            if job.urgent:
+                urgent[team.name] = urgent.get(team.name, 0.0) + work
+                continue
+            due = (job.since + job.deadline - now).total_seconds()
+            own = max(each, work / team.cpus_max) if job.pending else 0.0
+            lines.setdefault(team.name, []).append(Line(job.id, due, work, own))
+        last: set[str] = set()
+        for name, line in lines.items():
+            # Urgent work goes first: as much later as it takes, the rest begins.
+            late = urgent.get(name, 0.0) / self._teams[name].cpus_max
+            shifted = [Line(one.job, one.due - late, one.work, one.own) for one in line]
+            last |= forsaken(shifted, self._teams[name].cpus_max)
+        return last
+
+    def _want(self, job: Job, guaranteed: bool, last: bool, now: timedelta) -> Want:
         spec = job.spec
         due = (job.since + job.deadline - now).total_seconds()
-        # Urgent work by rank and deadline; then work within a guarantee; then by deadline.
-        order = (0.0, job.rank, due) if job.urgent else (1.0, 0.0 if guaranteed else 1.0, due)
+        # Urgent work by rank and deadline; then work within a guarantee; then by deadline,
+        # jobs that would only make others late behind them.
+        order = (0.0, job.rank, due) if job.urgent else (1.0, 0.0 if guaranteed else 2.0 if last else 1.0, due)
         return Want(
             job=job.id,
             team=spec.team,
--- a/src/elmthread/sizing/decide.py
+++ b/src/elmthread/sizing/decide.py
@@ -168,3 +168,36 @@
                 chosen = trial
                 break
     return chosen
+
+
+@dataclass(slots=True, frozen=True)
+class Line:
+    """A job in its team's line: core-seconds left, the soonest it can end, and its deadline."""
+
+    job: str
+    due: float
+    work: float
+    own: float
+
+
+def forsaken(lines: Sequence[Line], cores: float) -> set[str]:
+    """The jobs to put last so that the most others end in time, on `cores` shared by all.
+
+    By deadline; whenever one would end late, the one with the most work so far is put last
+    (Moore and Hodgson's rule, which leaves the fewest jobs late on one server).
+    """
+    last: set[str] = set()
+    taken: list[Line] = []
+    total = 0.0
+    for line in sorted(lines, key=lambda line: line.due):
+        if line.own > line.due:
+            last.add(line.job)
+            continue
+        taken.append(line)
+        total += line.work
+        if total / cores > line.due:
+            worst = max(taken, key=lambda line: line.work)
+            taken.remove(worst)
+            total -= worst.work
+            last.add(worst.job)
+    return last
