Sizing runs at once when a job is accepted

Cause: rentals waited for the next check, up to 5 s after a job; at the start the types were not known at the first check. One change with a debug line for each task's wait.

--- a/src/elmthread/agents/service.py
+++ b/src/elmthread/agents/service.py
@@ -173,6 +173,8 @@
             hold.machine.images[hold.job.spec.image] = hold.job.spec.image_gb
             if hold.started_at is None:
                 hold.started_at = now
+                waited = (now - hold.job.since).total_seconds()
+                log.debug("%s/%s runs on %s after %.1f s", hold.job.id, hold.task, hold.machine.name, waited)
         hold.move(state)
 
     def _unexpected(self, machine: Machine, task: Task, now: timedelta) -> list[dict[str, Any]]:
--- a/src/elmthread/controller.py
+++ b/src/elmthread/controller.py
@@ -40,6 +40,7 @@
 # cancel_s: an old leader's last answers and the worker's lease must both fit into it.
 CANCEL_SLACK = seconds(4)
 ROUND = seconds(0.1)
+GATHER = seconds(0.3)
 PAGE = 400
 # Attempts are unique for ever: the token, which grows with each leadership, and a count.
 ATTEMPTS = 10_000_000
@@ -119,7 +120,7 @@
             self._new_job,
             self._can_run,
             lambda: bool(self.fleet.types),
-            self.changed,
+            self.accepted,
         )
         self.agents = Agents(
             self.book,
@@ -142,6 +143,11 @@
     def changed(self) -> None:
         self._change.set()
 
+    def accepted(self) -> None:
+        """A job came: late groups are rented for at once, not at the next check."""
+        self._change.set()
+        self._shortfall.set()
+
     def _lacking(self) -> None:
         self._shortfall.set()
 
@@ -318,6 +324,9 @@
                     await self._shortfall.wait()
             except TimeoutError:
                 pass
+            else:
+                # What comes together is judged together.
+                await asyncio.sleep(GATHER.total_seconds())
 
     def stop(self) -> None:
         self.writer.stop()
