--- a/src/elmthread/agents/service.py
+++ b/src/elmthread/agents/service.py
@@ -196,6 +196,7 @@
         name = task.split()
         job = hold.job if hold is not None else self._book.jobs.get(name[0]) if name else None
         if hold is not None:
+            log.debug("%s on %s ended: %s", task.name, machine.name, task.why)
             self._learn(machine, hold, task, now)
         if task.why == "done" and job is not None and name is not None and 0 <= name[1] < job.total:
             index = name[1]
--- a/src/elmthread/intake/service.py
+++ b/src/elmthread/intake/service.py
@@ -63,6 +63,7 @@
                 return busy
             known = self._new_job(job, self._clock())
             self._book.add_job(known)
+            log.info("%s: %s of %s, %s tasks of %s cpus", job.id, job.job_class, job.team, job.tasks, job.cpus)
             self._store(known)
             created = True
         else:
