Theta starts at 0.6 and does not fall below the operators' value

Cause: idle reserve, money not spent on useful work. Theta followed the mean-to-peak ratio of urgent demand down to 0.15, six times the demand, while urgent work can requeue deferrable work.

--- a/src/elmthread/settings/operators.py
+++ b/src/elmthread/settings/operators.py
@@ -33,7 +33,7 @@
 class Raw(msgspec.Struct, forbid_unknown_fields=True):
     urgent: str = "form == 'daemon' or priority in ('production', 'high')"
     deadline_s: str = "due_s if due_s > 0 else objective_s if objective_s > 0 else 3600"
-    theta: float = 1 / 3
+    theta: float = 0.6
     delta: float = 0.05
     check_s: float = 5.0
 
--- a/src/elmthread/sizing/service.py
+++ b/src/elmthread/sizing/service.py
@@ -252,7 +252,7 @@
         peak = max(demand for _, demand in self._demand)
         if peak > 0 and now - self._demand[0][0] > seconds(60):
             mean = sum(demand for _, demand in self._demand) / len(self._demand)
-            self.theta = min(max(mean / peak, 0.15), 0.9)
+            self.theta = min(max(mean / peak, self._operators.theta), 0.9)
 
     def _rent_one(self, wants: list[Want], lacking: float) -> None:
         """One machine: the cheapest a core of those large enough, else the largest."""
