Jobs past saving on all cores wait behind the others

The rule used for a team's limit now also runs over all cores; urgent work counts as ahead of it, running work as half done.

--- a/src/elmthread/placement/book.py
+++ b/src/elmthread/placement/book.py
@@ -250,8 +250,9 @@
         return self.state is MachineState.UP and self.recall_at is None and not self.suspect
 
     @property
-    def free(self) -> float:
-        return self.cpus - self.cpus_used
+    def serves(self) -> bool:
+        """Takes work now, or will once it has booted."""
+        return self.state is MachineState.BOOTING or self.open
 
 
 class Book:
--- a/src/elmthread/placement/service.py
+++ b/src/elmthread/placement/service.py
@@ -96,32 +96,34 @@
         return inside
 
     def _last(self, now: timedelta) -> set[str]:
-        """Deferrable jobs that wait behind their team's others, so that the most end in time.
+        """Deferrable jobs that wait behind the others, so that the most end in time.
 
-        A team's limit is all it will ever get: where its work does not fit, which jobs are
-        late is a matter of order alone.
+        Where the work does not fit, which jobs are late is a matter of order alone. A team's
+        limit is all it will ever get; the cores that there are or that are coming are all
+        that can be had for now. Urgent work goes first.
         """
         lines: dict[str, list[Line]] = {}
         urgent: dict[str, float] = {}
         for job in self._book.open_jobs.values():
             team = self._teams.get(job.spec.team)
-            if team is None or not team.cpus_max:
+            if team is None:
                 continue
             each = self._expected(job).total_seconds()
-            left = job.total - job.count_done
-            work = left * job.spec.cpus * each
+            # Of what runs, about half is still to do.
+            work = (len(job.pending) + len(job.live) / 2) * job.spec.cpus * each
             if job.urgent:
                 urgent[team.name] = urgent.get(team.name, 0.0) + work
                 continue
             due = (job.since + job.deadline - now).total_seconds()
-            own = max(each, work / team.cpus_max) if job.pending else 0.0
+            own = max(each, work / team.cpu_limit) if job.pending else 0.0
             lines.setdefault(team.name, []).append(Line(job.id, due, work, own))
         last: set[str] = set()
         for name, line in lines.items():
-            # Urgent work goes first: as much later as it takes, the rest begins.
-            late = urgent.get(name, 0.0) / self._teams[name].cpus_max
-            shifted = [Line(one.job, one.due - late, one.work, one.own) for one in line]
-            last |= forsaken(shifted, self._teams[name].cpus_max)
+            last |= forsaken(line, self._teams[name].cpu_limit, urgent.get(name, 0.0))
+        cores = sum(machine.cpus for machine in self._book.machines.values() if machine.serves)
+        if cores:
+            rest = [one for line in lines.values() for one in line if one.job not in last]
+            last |= forsaken(rest, cores, sum(urgent.values()))
         return last
 
     def _want(self, job: Job, guaranteed: bool, last: bool, now: timedelta) -> Want:
--- a/src/elmthread/sizing/decide.py
+++ b/src/elmthread/sizing/decide.py
@@ -180,15 +180,16 @@
     own: float
 
 
-def forsaken(lines: Sequence[Line], cores: float) -> set[str]:
+def forsaken(lines: Sequence[Line], cores: float, ahead: float = 0.0) -> set[str]:
     """The jobs to put last so that the most others end in time, on `cores` shared by all.
 
+    `ahead` core-seconds of other work come first.
     By deadline; whenever one would end late, the one with the most work so far is put last
     (Moore and Hodgson's rule, which leaves the fewest jobs late on one server).
     """
     last: set[str] = set()
     taken: list[Line] = []
-    total = 0.0
+    total = ahead
     for line in sorted(lines, key=lambda line: line.due):
         if line.own > line.due:
             last.add(line.job)
--- a/src/elmthread/sizing/service.py
+++ b/src/elmthread/sizing/service.py
@@ -86,7 +86,7 @@
         return tuple(
             machine.name
             for machine in self._book.machines.values()
-            if _serves(machine)
+            if machine.serves
             and allowed(want, machine.build, machine.zone, machine.spot)
             and want.cpus <= machine.cpus
             and want.cards <= machine.cards
@@ -278,7 +278,3 @@
         if empty:
             machine = max(empty, key=lambda m: m.price / m.cpus if m.cpus else 0.0)
             self._fleet.give_up(machine, "not needed")
-
-
-def _serves(machine: Machine) -> bool:
-    return machine.state is MachineState.BOOTING or (machine.state is MachineState.UP and machine.open)
