A cancelled job's tasks count for their team's limit under a new leader too

Cause: the record of a cancelled job kept neither team nor size, so a new leader counted its tasks, still on machines that the old one had not reached, for no team. Ruled out: late transactions, answers of the old leader (guarded now by a tenure all the same). Fixed: the record keeps the job until it is done; a test that fails without.

--- a/src/elmthread/agents/service.py
+++ b/src/elmthread/agents/service.py
@@ -19,7 +19,7 @@
 from elmthread.agents.messages import Report, Task
 from elmthread.common.clock import Clock, seconds
 from elmthread.common.http import BadBody, Request, Response, again, decode
-from elmthread.leadership.election import Election
+from elmthread.leadership.election import Tenure
 from elmthread.ledger.records import machine_key, machine_record, to_store
 from elmthread.ledger.writer import Rank, Writer
 from elmthread.placement.book import SEEN, Book, Hold, HoldState, Job, Machine, MachineState, Stop
@@ -35,7 +35,7 @@
     def __init__(
         self,
         book: Book,
-        election: Election,
+        tenure: Tenure,
         writer: Writer,
         work: WorkModel,
         clock: Clock,
@@ -44,7 +44,7 @@
         changed: Callable[[], None],
     ) -> None:
         self._book = book
-        self._election = election
+        self._tenure = tenure
         self._writer = writer
         self._work = work
         self._clock = clock
@@ -64,10 +64,10 @@
             self.dropped += 1
             log.info("report dropped: %s", error)
             return Response(400, {"error": "malformed report"})
-        if report.token > self._election.token:
-            self._election.hear(report.token, None)
-        if not self._election.answers_workers():
-            return Response(421, messages.elsewhere(self._election.leader))
+        if report.token > self._tenure.token:
+            self._tenure.hear(report.token)
+        if not self._tenure.answers_workers():
+            return Response(421, messages.elsewhere(self._tenure.leader))
         if report.machine in self._book.gone:
             # Its deletion was answered: a late report of a machine that is no more.
             return again(503, seconds(1), "machine is gone")
@@ -78,21 +78,21 @@
         now = self._clock()
         machine.newest = (report.session, report.sequence)
         machine.reported_at = now
-        if report.token < self._election.token:
+        if report.token < self._tenure.token:
             # The first answer carries our token; what the next report lists, no earlier
             # leader can change any more.
             return self._answer(machine, [])
         commands = self._take(machine, report, now)
         if machine.state is MachineState.UP and self._may_come(machine):
             await self._linger(machine)
-            if not self._election.answers_workers():
-                return Response(421, messages.elsewhere(self._election.leader))
+            if not self._tenure.answers_workers():
+                return Response(421, messages.elsewhere(self._tenure.leader))
         commands += self._commands(machine)
         return self._answer(machine, commands[:MOST_ORDERS])
 
     def _answer(self, machine: Machine, commands: list[dict[str, Any]]) -> Response:
         machine.answered_at = self._clock()
-        return Response(200, messages.orders(self._election.token, commands))
+        return Response(200, messages.orders(self._tenure.token, commands))
 
     def _adopt(self, report: Report) -> Machine:
         """A machine nobody told us of: rented by a late request or by an earlier leader."""
@@ -240,7 +240,7 @@
     # What the worker is told
 
     def _commands(self, machine: Machine) -> list[dict[str, Any]]:
-        leads = self._election.leads()
+        leads = self._tenure.leads()
         commands: list[dict[str, Any]] = []
         starts: list[dict[str, Any]] = []
         now = self._clock()
--- a/src/elmthread/controller.py
+++ b/src/elmthread/controller.py
@@ -17,7 +17,7 @@
 from elmthread.intake.api import Api
 from elmthread.intake.messages import Submission
 from elmthread.intake.service import Intake
-from elmthread.leadership.election import Election
+from elmthread.leadership.election import Election, Tenure
 from elmthread.ledger import messages as ledger_messages
 from elmthread.ledger import records
 from elmthread.ledger.client import StateClient, Unavailable, Unsure
@@ -70,7 +70,7 @@
     ) -> None:
         self._platform = platform
         self._operators = operators
-        self._election = election
+        self.tenure = Tenure(election, token)
         self._state = state
         self._clock = clock
         self.token = token
@@ -94,7 +94,7 @@
             Bucket(rate, rate, clock),
             facts.state.txn_ops,
             clock,
-            lambda: election.step_down("a transaction found another leader"),
+            lambda: self.tenure.step_down("a transaction found another leader"),
         )
         self.work = WorkModel()
         calls = Bucket(facts.cloud.rps * 0.9, max(1.0, facts.cloud.rps * 1.5), clock)
@@ -107,14 +107,14 @@
             facts.cloud.list_lag,
             facts.workers.lease,
             unsure_until,
-            election.leads,
+            self.tenure.leads,
             self._next_rental,
             self.changed,
             self._lacking,
         )
         self.intake = Intake(
             self.book,
-            election,
+            self.tenure,
             self.writer,
             clock,
             self._new_job,
@@ -124,7 +124,7 @@
         )
         self.agents = Agents(
             self.book,
-            election,
+            self.tenure,
             self.writer,
             self.work,
             clock,
@@ -263,13 +263,14 @@
         if record.spec is None:
             spec = _finished_spec(item.key.removeprefix("j/"), record.tasks)
             job = Job(spec, datetime.now(UTC), self._clock(), seconds(0), False, self._chunk)
-            job.pending.clear()
         else:
             submitted = records.submitted_at(record)
             age = max(timedelta(), datetime.now(UTC) - submitted)
             job = self._new_job(record.spec, self._clock() - age, submitted)
             job.chunk = record.chunk
         job.state = job.stored = job.writing = state
+        if not job.open:
+            job.pending.clear()
         if state is JobState.DONE:
             job.count_done = job.total
         self.book.add_job(job)
@@ -310,13 +311,13 @@
             except TimeoutError:
                 pass
             self._change.clear()
-            if self._election.leads():
+            if self.tenure.leads():
                 self.placement.round()
             await asyncio.sleep(ROUND.total_seconds())
 
     async def _size(self) -> None:
         while True:
-            if self._election.leads():
+            if self.tenure.leads():
                 self.sizing.round()
             self._shortfall.clear()
             try:
@@ -401,7 +402,7 @@
         except Exception:
             # A fault in one leader's work: another, with a view built anew, may fare better.
             log.exception("the leader's work has failed")
-            self.election.step_down("a fault")
+            leader.tenure.step_down("a fault")
 
     def _lost(self) -> None:
         rps = self._platform.facts.state.rps
--- a/src/elmthread/intake/service.py
+++ b/src/elmthread/intake/service.py
@@ -10,7 +10,7 @@
 from elmthread.common.http import Response, again
 from elmthread.intake import messages
 from elmthread.intake.messages import Submission
-from elmthread.leadership.election import Election
+from elmthread.leadership.election import Tenure
 from elmthread.ledger.records import done_key, done_record, job_key, job_record, to_store
 from elmthread.ledger.writer import Rank, Stopped, Writer
 from elmthread.placement.book import Book, HoldState, Job, JobState
@@ -29,7 +29,7 @@
     def __init__(
         self,
         book: Book,
-        election: Election,
+        tenure: Tenure,
         writer: Writer,
         clock: Clock,
         new_job: Callable[[Submission, timedelta], Job],
@@ -38,7 +38,7 @@
         changed: Callable[[], None],
     ) -> None:
         self._book = book
-        self._election = election
+        self._tenure = tenure
         self._writer = writer
         self._clock = clock
         self._new_job = new_job
@@ -73,7 +73,7 @@
             if failed is not None:
                 return failed
             created = True
-        if not self._election.leads():
+        if not self._tenure.leads():
             return again(503, SOON, "not leading")
         return Response(201 if created else 200, self._describe(known))
 
@@ -157,7 +157,7 @@
                 return failed
             if job.stored is not job.state:
                 return again(503, SOON, "not durable yet")
-        if not self._election.leads():
+        if not self._tenure.leads():
             return again(503, SOON, "not leading")
         assert job.stored is not None
         return Response(200, messages.status(job.id, job.stored.value))
--- a/src/elmthread/leadership/election.py
+++ b/src/elmthread/leadership/election.py
@@ -207,6 +207,36 @@
             log.debug("the old lease could not be given back")
 
 
+class Tenure:
+    """One leadership, by its token.
+
+    A node can lose its leadership and win it again while one of its answers is still being
+    made. What was begun under the old token must not be finished under the new one: its view
+    is the old one. So the leader's parts ask their tenure, never the election.
+    """
+
+    def __init__(self, election: Election, token: int) -> None:
+        self._election = election
+        self.token = token
+
+    @property
+    def leader(self) -> str | None:
+        return self._election.leader
+
+    def leads(self) -> bool:
+        return self._election.token == self.token and self._election.leads()
+
+    def answers_workers(self) -> bool:
+        return self._election.token == self.token and self._election.answers_workers()
+
+    def hear(self, token: int) -> None:
+        self._election.hear(token, None)
+
+    def step_down(self, why: str) -> None:
+        if self._election.token == self.token:
+            self._election.step_down(why)
+
+
 def _record(item: messages.Item) -> LeaderRecord:
     try:
         return msgspec.convert(item.value, LeaderRecord)
--- a/src/elmthread/ledger/records.py
+++ b/src/elmthread/ledger/records.py
@@ -77,8 +77,10 @@
 
 
 def job_record(job: Job) -> JobRecord:
-    if job.state is JobState.OPEN:
-        return JobRecord("open", job.total, job.submitted.timestamp(), job.chunk, job.spec)
+    if job.state is not JobState.DONE:
+        # Tasks of a cancelled job may be on machines for a while: what they take, and whose
+        # limit they count for, must outlive the leader that cancelled it.
+        return JobRecord(job.state.value, job.total, job.submitted.timestamp(), job.chunk, job.spec)
     # What is over is kept for ever, so it is kept small.
     return JobRecord(job.state.value, job.total)
 
--- a/tests/test_world.py
+++ b/tests/test_world.py
@@ -206,7 +206,20 @@
     day(script)
 
 
-TROUBLES = ["kill", "kill_all", "outage", "refused", "cut", "hang", "die", "lossy", "late", "cancel", "burst"]
+TROUBLES = [
+    "kill",
+    "kill_all",
+    "outage",
+    "refused",
+    "cut",
+    "hang",
+    "die",
+    "lossy",
+    "late",
+    "cancel",
+    "burst",
+    "step_down",
+]
 
 
 @settings(
@@ -293,6 +306,9 @@
         world.cloud.machines[name].state = "failed"
     elif kind == "cancel" and ids:
         await world.withdraw(rng.choice(ids), 3.0)
+    elif kind == "step_down" and world.leader is not None:
+        # Often the same node wins again while its answers to workers are still being made.
+        world.leader.election.step_down("told to")
     elif kind == "burst":
         number = rng.randint(100, 999_999)
         spec = job(number, crew="red", urgency="high", pieces=6, cpus=2.0)
@@ -308,3 +324,43 @@
         trouble = world.ports[name][0].trouble
         trouble.refused = trouble.cut = False
         trouble.lost = trouble.late = 0.0
+
+
+def test_answers_begun_under_an_old_token_are_not_finished_under_a_new_one() -> None:
+    """A node that loses and wins leadership within one answer once broke a team's limit so."""
+
+    async def script(world: World) -> None:
+        ids = []
+        for index in range(6):
+            spec = job(index, crew="red", pieces=30, true_s=3.0, expected_s=3.0)
+            assert await world.submit(spec)
+            ids.append(spec["name_id"])
+        for _ in range(60):
+            if world.leader is not None:
+                world.leader.election.step_down("told to")
+            await asyncio.sleep(world.rng.uniform(0.3, 3.0))
+        assert set((await world.until_over(ids, 300)).values()) == {"done"}
+
+    for number in range(4):
+        day(script, seed=number, machines=6)
+
+
+def test_cancelled_tasks_out_of_reach_count_for_the_limit_under_a_new_leader() -> None:
+    """The record of a cancelled job once lost its team and size, and with them its tasks' cores."""
+
+    async def script(world: World) -> None:
+        assert await world.submit(job(1, crew="red", pieces=12, true_s=100.0, expected_s=100.0))
+        await asyncio.sleep(8)
+        assert len(world.rules.where) == 12
+        # The workers hear nothing more, so what they run goes on until their leases end.
+        world.cut_workers |= {(worker, node) for worker in world.workers for node in NODES}
+        assert await world.withdraw("run-000001") == "cancelled"
+        old = world.leader
+        assert old is not None
+        world.kill(old.api._node)
+        for name in ("large", "large"):
+            world.rent(name, "east")
+        assert await world.submit(job(2, crew="red", pieces=12))
+        assert (await world.until_over(["run-000002"], 120)) == {"run-000002": "done"}
+
+    day(script)
