Saving tasks are moved off dear machines that work can do without

Machines that demand does not need (the dearest first) now get nothing new while others have room, and what saves its progress is moved off them. Conclusion: kept; an exception to the design's return of empty machines only.

--- a/src/elmthread/placement/book.py
+++ b/src/elmthread/placement/book.py
@@ -189,6 +189,7 @@
         "cpus",
         "cpus_used",
         "empty_since",
+        "fading",
         "failures",
         "fetch_rate",
         "holds",
@@ -234,6 +235,8 @@
         self.recall_at: timedelta | None = None
         self.images: dict[str, float] = {}
         self.pool = False
+        # Not needed as things stand: gets work only where no other machine has room.
+        self.fading = False
         self.listed = ""
         self.was_listed = False
         self.failures: dict[str, int] = {}
@@ -249,6 +252,10 @@
     def open(self) -> bool:
         return self.state is MachineState.UP and self.recall_at is None and not self.suspect
 
+    @property
+    def free(self) -> float:
+        return self.cpus - self.cpus_used
+
     @property
     def serves(self) -> bool:
         """Takes work now, or will once it has booted."""
--- a/src/elmthread/placement/decide.py
+++ b/src/elmthread/placement/decide.py
@@ -23,6 +23,7 @@
     fetch_rate: float = 1.0
     images: frozenset[str] | dict[str, float] = frozenset()
     most: int = 1000  # tasks it may still be given
+    fading: bool = False
 
 
 @dataclass(slots=True)
@@ -90,15 +91,16 @@
     return 0.0 if want.image in slot.images else want.image_gb / slot.fetch_rate
 
 
-def preference(want: Want, slot: Slot, cheapest: float) -> tuple[float, float]:
-    """Small is better: the time to fetch the image, then the price; full machines first.
+def preference(want: Want, slot: Slot, cheapest: float) -> tuple[bool, float, float]:
+    """Small is better: machines that are to empty come last; then the time to fetch the
+    image and the price; full machines first.
 
     Price is weighed in seconds: a machine at twice the cheapest price per core counts like
     ten seconds of waiting for an image, for urgent work like two.
     """
     weight = 2.0 if want.urgent else 10.0
     dearer = (slot.price / cheapest - 1.0) if cheapest > 0 else 0.0
-    return (_fetch_time(want, slot) + weight * min(dearer, 5.0), slot.cpus)
+    return (slot.fading, _fetch_time(want, slot) + weight * min(dearer, 5.0), slot.cpus)
 
 
 def place(wants: Iterable[Want], slots: list[Slot], rooms: dict[str, Room]) -> list[tuple[Want, Slot, int]]:
--- a/src/elmthread/placement/service.py
+++ b/src/elmthread/placement/service.py
@@ -228,6 +228,7 @@
         fetch_rate=machine.fetch_rate,
         images=machine.images,
         most=book.most_holds - len(machine.holds),
+        fading=machine.fading,
     )
 
 
--- a/src/elmthread/sizing/service.py
+++ b/src/elmthread/sizing/service.py
@@ -8,7 +8,7 @@
 
 from elmthread.common.clock import Clock, seconds
 from elmthread.fleet.service import Fleet, Kind
-from elmthread.placement.book import Book, Hold, Job, Machine, MachineState
+from elmthread.placement.book import Book, Hold, Job, Machine, MachineState, Stop
 from elmthread.placement.decide import Room, Want, allowed
 from elmthread.placement.service import Placement
 from elmthread.settings.operators import Operators
@@ -23,6 +23,12 @@
 MARGIN = 0.75
 # What can't be saved any more is to end within this many times the soonest possible.
 SECOND_CHANCE = 1.5
+# Cores kept over what work needs: room left over in pieces is of no use.
+SLACK = 1.1
+# Tasks are moved off machines that cost this many times the cheapest one a core, once they
+# have run for long enough that the move is worth its cost.
+DEAR = 1.4
+SETTLED = seconds(30)
 # Boots take up to half again as long as the cloud says.
 BOOT = 1.2
 # Urgent demand is remembered for this long to track theta.
@@ -60,6 +66,7 @@
         rooms = self._placement.rooms()
         self._for_groups(wants, rooms, now)
         self._for_band(wants, rooms, now)
+        self._fade(wants, rooms, now)
 
     # Deferrable pressure
 
@@ -189,6 +196,46 @@
                         offers.append(Offer(kind.name, zone, spot, kind.cpus, price, kind.boot_s * BOOT))
         return offers
 
+    def _fade(self, wants: list[Want], rooms: dict[str, Room], now: timedelta) -> None:
+        """Marks the machines that booked and waiting work can do without, the dearest first.
+
+        They are given nothing new while others have room. Where all that is left on one saves
+        its progress and would fit elsewhere, it is moved: an exception to the design, where
+        only an empty machine is returned, since long tasks kept dear machines for minutes.
+        """
+        left = {name: room.cpus for name, room in rooms.items()}
+        demand = 0.0
+        for want in wants:
+            cores = max(0.0, min(left[want.team], want.count * want.cpus))
+            left[want.team] -= cores
+            demand += cores
+        serving = [m for m in self._book.machines.values() if m.state is MachineState.UP and m.open]
+        demand += sum(m.cpus_used for m in serving)
+        urgent = self._urgent(wants, rooms)
+        needed = max(demand * SLACK, urgent / max(self.theta - self._operators.delta, 0.05))
+        spare = 0.0
+        # Of equally dear machines the fuller are kept: the others are closer to being empty.
+        serving.sort(key=lambda m: (round(_core_price(m), 3), -m.cpus_used, m.name))
+        for machine in serving:
+            machine.fading = needed <= 0
+            needed -= machine.cpus
+            if not machine.fading:
+                spare += machine.free
+            elif (
+                machine.holds and machine.cpus_used <= spare and _core_price(machine) >= DEAR * _core_price(serving[0])
+            ):
+                spare -= machine.cpus_used
+                self._move_away(machine, now)
+
+    def _move_away(self, machine: Machine, now: timedelta) -> None:
+        holds = list(machine.holds.values())
+        if all(
+            hold.job.spec.saves and hold.started_at is not None and now - hold.started_at > SETTLED for hold in holds
+        ):
+            log.info("%s is emptied: its %s tasks save and go on elsewhere", machine.name, len(holds))
+            for hold in holds:
+                hold.stop = hold.stop or Stop.SAVE
+
     def _return_pool(self, wants: list[Want], now: timedelta) -> None:
         """An idle deferrable pool goes back whole; what of a busy one stays empty goes singly.
 
@@ -276,5 +323,9 @@
             and urgent <= most * (cores - m.cpus)
         ]
         if empty:
-            machine = max(empty, key=lambda m: m.price / m.cpus if m.cpus else 0.0)
+            machine = max(empty, key=_core_price)
             self._fleet.give_up(machine, "not needed")
+
+
+def _core_price(machine: Machine) -> float:
+    return machine.price / machine.cpus if machine.cpus else 0.0
