--- a/src/elmthread/agents/service.py
+++ b/src/elmthread/agents/service.py
@@ -78,6 +78,7 @@
         now = self._clock()
         machine.newest = (report.session, report.sequence)
         machine.reported_at = now
+        machine.quiet = False
         if report.token < self._tenure.token:
             # The first answer carries our token; what the next report lists, no earlier
             # leader can change any more.
--- a/src/elmthread/fleet/service.py
+++ b/src/elmthread/fleet/service.py
@@ -35,6 +35,8 @@
 REFUSED_MOST = seconds(160)
 # A listed machine that many good lists in a row leave out is deleted to be sure.
 MISSING = 3
+# A machine silent for this part of its lease has missed reports and gets nothing new.
+QUIET = 0.4
 # A machine that has not come up after this many times its usual boot time is given up.
 BOOTS = 2.5
 BOOT_SLACK = seconds(10)
@@ -327,6 +329,7 @@
                 if now - machine.known_since > bound:
                     self.give_up(machine, "has not come up")
                 continue
+            machine.quiet = self._silence(machine, now) > self._lease * QUIET
             self._expire(machine, now)
             if machine.recall_at is not None and now >= machine.recall_at - seconds(0.8):
                 self.give_up(machine, "taken back")
--- a/src/elmthread/placement/book.py
+++ b/src/elmthread/placement/book.py
@@ -200,6 +200,7 @@
         "newest",
         "pool",
         "price",
+        "quiet",
         "ram",
         "ram_used",
         "recall_at",
@@ -233,6 +234,8 @@
         self.known_since = now
         self.empty_since = now
         self.recall_at: timedelta | None = None
+        # Overdue with its reports: it may hang or be dead, so it gets nothing new.
+        self.quiet = False
         self.images: dict[str, float] = {}
         self.pool = False
         # Not needed as things stand: gets work only where no other machine has room.
@@ -250,7 +253,7 @@
 
     @property
     def open(self) -> bool:
-        return self.state is MachineState.UP and self.recall_at is None and not self.suspect
+        return self.state is MachineState.UP and self.recall_at is None and not self.suspect and not self.quiet
 
     @property
     def free(self) -> float:
--- a/tests/test_world.py
+++ b/tests/test_world.py
@@ -364,3 +364,23 @@
         assert (await world.until_over(["run-000002"], 120)) == {"run-000002": "done"}
 
     day(script)
+
+
+def test_silent_machine_gets_nothing_new() -> None:
+    """Seen in an incident: a hung machine was given tasks, and they were taken back, all day long."""
+
+    async def script(world: World) -> None:
+        await asyncio.sleep(3)
+        name = next(iter(world.workers))
+        world.workers[name].hung = True
+        await asyncio.sleep(8)
+        for number in range(5):
+            assert await world.submit(job(number, pieces=6))
+        leader = world.leader
+        assert leader is not None and leader.leader is not None
+        for _ in range(20):
+            await asyncio.sleep(0.5)
+            machine = leader.leader.book.machines.get(name)
+            assert machine is None or not machine.holds
+
+    day(script)
