--- /dev/null
+++ b/src/elmthread/common/tests/test_http.py
@@ -0,0 +1,112 @@
+"""Real sockets on loopback: the HTTP server and client."""
+
+import asyncio
+from collections.abc import Awaitable, Callable, Coroutine
+from typing import Any
+
+import cbor2
+
+from elmthread.common import http
+from elmthread.common.clock import seconds
+from elmthread.common.http import Client, NoAnswer, Request, Response, Server
+
+
+def run(main: Coroutine[Any, Any, None]) -> None:
+    asyncio.run(asyncio.wait_for(main, 20))
+
+
+async def serving(handle: Callable[[Request], Awaitable[Response]], most: int = 10) -> tuple[Server, int]:
+    server = Server(handle, most)
+    return server, await server.start("127.0.0.1", 0)
+
+
+async def echo(request: Request) -> Response:
+    if request.path == "/fail":
+        raise RuntimeError("a fault in one handler")
+    if request.path == "/later":
+        return http.again(503, seconds(2), "later")
+    return Response(200, {"path": request.path, "body": cbor2.loads(request.body) if request.body else None})
+
+
+async def raw(port: int, data: bytes) -> bytes:
+    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    writer.write(data)
+    answer = await reader.read()
+    writer.close()
+    return answer
+
+
+def test_requests_share_a_connection_and_faults_cost_nobody() -> None:
+    async def main() -> None:
+        server, port = await serving(echo)
+        client = Client(f"127.0.0.1:{port}")
+        for number in range(3):
+            answer = await client.call("POST", "/a", {"n": number}, timeout=seconds(5))
+            assert (answer.status, answer.body["body"]) == (200, {"n": number})
+        assert len(client._idle) == 1
+        assert (await client.call("GET", "/fail", timeout=seconds(5))).status == 503
+        assert (await client.call("GET", "/a", timeout=seconds(5))).status == 200
+        await server.close()
+
+    run(main())
+
+
+def test_broken_and_oversized_requests_get_400_and_the_end() -> None:
+    async def main() -> None:
+        server, port = await serving(echo)
+        assert (await raw(port, b"nonsense\r\n\r\n")).startswith(b"HTTP/1.1 400")
+        head = b"POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n"
+        # Refused by its length, before any of it is read.
+        assert (await raw(port, head % 70_000)).startswith(b"HTTP/1.1 400")
+        chunked = b"POST /a HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n"
+        assert (await raw(port, chunked + b"11170\r\n" + b"x" * 70_000 + b"\r\n")).startswith(b"HTTP/1.1 400")
+        answer = await raw(port, b"GET /later HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
+        assert b"retry-after: 2" in answer.lower()
+        await server.close()
+
+    run(main())
+
+
+def test_slow_clients_are_cut_off_and_connections_bounded() -> None:
+    async def main() -> None:
+        now = [seconds(0)]
+        server = Server(echo, 2, lambda: now[0])
+        port = await server.start("127.0.0.1", 0)
+        sweeper = asyncio.create_task(server.sweep())
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        writer.write(b"POST /a HTTP/1.1\r\nHost: x\r\n")
+        _, second = await asyncio.open_connection("127.0.0.1", port)
+        await asyncio.sleep(0.1)
+        third, _ = await asyncio.open_connection("127.0.0.1", port)
+        try:
+            assert await third.read() == b""
+        except ConnectionError:
+            pass
+        now[0] = seconds(11)
+        try:
+            assert await reader.read() == b""
+        except ConnectionError:
+            pass
+        sweeper.cancel()
+        second.close()
+        await server.close()
+
+    run(main())
+
+
+def test_client_tells_of_no_answer_in_time() -> None:
+    async def silent(request: Request) -> Response:
+        await asyncio.sleep(10)
+        return Response(200)
+
+    async def main() -> None:
+        server, port = await serving(silent)
+        for address in (f"127.0.0.1:{port}", "127.0.0.1:1"):
+            try:
+                await Client(address).call("GET", "/a", timeout=seconds(0.2))
+            except NoAnswer:
+                continue
+            raise AssertionError("an answer out of nothing")
+        await server.close()
+
+    run(main())
--- /dev/null
+++ b/src/elmthread/settings/tests/test_settings.py
@@ -0,0 +1,85 @@
+"""Settings files and operators' expressions: good ones, and one clear line for each bad one."""
+
+from pathlib import Path
+
+import pytest
+
+from elmthread.cli import main
+from elmthread.settings import operators, platform
+from elmthread.settings.platform import BadSettings
+from tests.world.world import SETTINGS
+
+GOOD = SETTINGS.format(node="loom-0", others="")
+
+
+def test_platform_file_with_unknown_fields() -> None:
+    parsed = platform.parse("colour = 1\n" + GOOD)
+    assert parsed.node == "loom-0" and parsed.facts.teams[0].cpu_limit == 12.0
+    assert parsed.facts.teams[1].cpu_limit == float("inf")  # 0: no limit
+
+
+@pytest.mark.parametrize(
+    ("old", "new", "names"),
+    [
+        ('serve_on = "10.0.0.1:8080"', 'serve_on = "here"', "serve_on"),
+        ("lease_s = 12.0", "lease_s = 0", "lease_s"),
+        ("lease_s = 12.0", 'lease_s = "long"', "lease_s"),
+        ("txn_ops = 8", "", "txn_ops"),
+        ("cpus_max = 12.0", "cpus_max = -1.0", "cpus_max"),
+        ("value_kb = 8.0", "value_kb = nan", "value_kb"),
+        ("[facts]", "[facts", "TOML"),
+    ],
+)
+def test_bad_platform_file_names_the_field(
+    old: str, new: str, names: str, tmp_path: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    path = tmp_path / "settings.toml"
+    path.write_text(GOOD.replace(old, new))
+    assert main(["check", "--config", str(path)]) == 2
+    error = capsys.readouterr().err
+    assert names in error and error.count("\n") == 1
+
+
+JOB = {
+    "job_class": "nightly", "team": "red", "form": "batch", "priority": "high", "tasks": 3, "cpus": 1.0, "cards": 0.0,
+    "ram_gb": 1.0, "expected_s": 10.0, "due_s": 0.0, "objective_s": 120.0, "saves": False, "spot": True,
+}  # fmt: skip
+
+
+def test_expressions() -> None:
+    own = operators.parse("urgent = \"team in ('red', 'blue') and not saves\"\ndeadline_s = \"min(60, tasks * 5)\"")
+    assert own.urgent(JOB) and not own.urgent(JOB | {"team": "green"})
+    assert own.deadline(JOB).total_seconds() == 15
+    default = operators.load(None)
+    assert default.urgent(JOB) and not default.urgent(JOB | {"priority": "normal"})
+    assert default.deadline(JOB).total_seconds() == 120
+    assert default.deadline(JOB | {"due_s": 40.0}).total_seconds() == 40
+    assert default.deadline(JOB | {"objective_s": 0.0}).total_seconds() == 3600
+
+
+def test_an_expression_that_fails_on_a_job_gives_the_default() -> None:
+    own = operators.parse('deadline_s = "100 / (tasks - 3)"')
+    assert own.deadline(JOB).total_seconds() == 3600
+
+
+@pytest.mark.parametrize(
+    "text",
+    [
+        'urgent = "tasks"',  # a number where a truth is wanted
+        "urgent = \"team == 'a' or colour\"",
+        "urgent = \"tasks > 'a'\"",
+        "urgent = \"__import__('os')\"",
+        'urgent = "[x for x in (1, 2)]"',
+        'urgent = "team.upper() == team"',
+        'deadline_s = "9 ** 9 ** 9"',
+        'deadline_s = "min(1)"',
+        'deadline_s = "1 +"',
+        f'deadline_s = "{"1 + " * 100}1"',
+        "theta = 2.0",
+        "check_s = 0",
+        "colour = 1",
+    ],
+)
+def test_bad_operators_settings(text: str) -> None:
+    with pytest.raises(BadSettings):
+        operators.parse(text)
--- /dev/null
+++ b/src/elmthread/sizing/tests/test_decide.py
@@ -0,0 +1,127 @@
+"""Sizing against brute force over small cases."""
+
+import itertools
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from elmthread.sizing.decide import (
+    Band,
+    Group,
+    Line,
+    Offer,
+    Supply,
+    band,
+    ends,
+    fewest,
+    finish,
+    forsaken,
+    late,
+    unsavable,
+)
+
+steady = settings(max_examples=150, deadline=None, derandomize=True, database=None)
+
+
+def plain_finish(work: float, supplies: list[Supply]) -> float:
+    """Small steps of time instead of sums."""
+    at, step = 0.0, 0.01
+    while work > 1e-9 and at < 500:
+        work -= step * sum(supply.cores for supply in supplies if supply.start <= at + 1e-9)
+        at += step
+    return at
+
+
+@steady
+@given(
+    st.integers(1, 60).map(float),
+    st.lists(st.builds(Supply, st.integers(0, 9).map(float), st.integers(1, 4).map(float)), min_size=1, max_size=4),
+)
+def test_finish_agrees_with_small_steps(work: float, supplies: list[Supply]) -> None:
+    assert abs(finish(work, supplies) - plain_finish(work, supplies)) < 0.05
+
+
+groups = st.lists(
+    st.builds(
+        Group,
+        due=st.integers(5, 60).map(float),
+        work=st.integers(1, 200).map(float),
+        longest=st.integers(1, 15).map(float),
+        usable=st.integers(1, 16).map(float),
+    ),
+    min_size=1,
+    max_size=3,
+).map(lambda some: sorted(some, key=lambda group: group.due))
+OFFERS = [
+    Offer("s", "x", True, 2.0, 0.1, 5.0),
+    Offer("m", "x", True, 4.0, 0.3, 5.0),
+    Offer("l", "x", True, 8.0, 0.9, 5.0),
+]
+
+
+@steady
+@given(groups, st.integers(0, 4), st.integers(0, 40))
+def test_fewest_is_fewest(some: list[Group], cores: int, ahead: int) -> None:
+    supplies = [Supply(0.0, float(cores))] if cores else []
+    skip = unsavable(some, 5.0)
+    chosen = fewest(some, supplies, float(ahead), OFFERS, usable=1000.0, most=4)
+
+    def good(machines: tuple[Offer, ...]) -> bool:
+        more = [Supply(offer.boot, offer.cores) for offer in machines]
+        return not late(some, [*supplies, *more], float(ahead), skip)
+
+    best = next(
+        (
+            count
+            for count in range(5)
+            if any(good(pick) for pick in itertools.combinations_with_replacement(OFFERS, count))
+        ),
+        None,
+    )
+    if best is None:
+        assert len(chosen) == 4  # all that may be rented: it helps, though it does not save all
+    else:
+        assert len(chosen) == best and good(tuple(chosen))
+
+
+def test_rentals_stay_within_what_waiting_tasks_can_use() -> None:
+    some = [Group(due=10.0, work=1000.0, longest=1.0, usable=1000.0)]
+    assert len(fewest(some, [], 0.0, OFFERS, usable=9.0)) == 2
+    assert fewest(some, [], 0.0, OFFERS, usable=0.0) == []
+
+
+def test_a_group_is_never_faster_than_one_task_or_its_usable_cores() -> None:
+    assert ends([Group(99.0, 10.0, 7.0, 100.0)], [Supply(0.0, 100.0)], 0.0) == [7.0]
+    assert ends([Group(99.0, 40.0, 1.0, 2.0)], [Supply(0.0, 100.0)], 0.0) == [20.0]
+
+
+@steady
+@given(
+    st.lists(st.tuples(st.integers(1, 30), st.integers(1, 20)), min_size=1, max_size=7),
+    st.integers(1, 3),
+)
+def test_forsaken_leaves_the_fewest_late(jobs: list[tuple[int, int]], cores: int) -> None:
+    lines = [Line(str(n), float(due), float(work), 0.0) for n, (due, work) in enumerate(jobs)]
+
+    def feasible(subset: tuple[Line, ...]) -> bool:
+        total = 0.0
+        for line in sorted(subset, key=lambda line: line.due):
+            total += line.work / cores
+            if total > line.due:
+                return False
+        return True
+
+    most = max(
+        count
+        for count in range(len(lines) + 1)
+        if any(feasible(subset) for subset in itertools.combinations(lines, count))
+    )
+    assert len(lines) - len(forsaken(lines, float(cores))) == most
+
+
+def test_band() -> None:
+    assert band(50, 100, 0.4, 0.05) is Band.RENT
+    assert band(42, 100, 0.4, 0.05) is Band.STAY
+    assert band(30, 100, 0.4, 0.05) is Band.RETURN
+    assert band(1, 0, 0.4, 0.05) is Band.RENT
+    assert band(0, 0, 0.4, 0.05) is Band.STAY
