--- a/src/elmthread/sizing/tests/test_decide.py
+++ b/src/elmthread/sizing/tests/test_decide.py
@@ -16,7 +16,6 @@
     fewest,
     finish,
     forsaken,
-    late,
     unsavable,
 )
 
@@ -68,7 +67,8 @@
 
     def good(machines: tuple[Offer, ...]) -> bool:
         more = [Supply(offer.boot, offer.cores) for offer in machines]
-        return not late(some, [*supplies, *more], float(ahead), skip)
+        found = ends(some, [*supplies, *more], float(ahead))
+        return all(end <= group.due or n in skip for n, (end, group) in enumerate(zip(found, some, strict=True)))
 
     best = next(
         (
