--- a/src/elmthread/agents/service.py
+++ b/src/elmthread/agents/service.py
@@ -204,7 +204,7 @@
             waiting = task.attempt in machine.to_reap
             if job.open and not job.is_done(index):
                 job.set_done(index)
-                if index in job.pending:
+                if hold is None and index in job.pending:
                     job.pending.remove(index)
                 machine.to_reap[task.attempt] = (job.id, index)
 
--- a/tests/test_world.py
+++ b/tests/test_world.py
@@ -384,3 +384,22 @@
             assert machine is None or not machine.holds
 
     day(script)
+
+
+def test_a_job_of_the_largest_size_stalls_nothing_and_fits_its_records() -> None:
+    async def script(world: World) -> None:
+        assert await world.submit(job(1, pieces=100_000, true_s=1.0, expected_s=1.0))
+        assert await world.submit(job(2, urgency="high"))
+        assert (await world.until_over(["run-000002"], 60)) == {"run-000002": "done"}
+        await asyncio.sleep(20)
+        done = len(world.rules.finished)
+        assert done > 100
+        old = world.leader
+        assert old is not None
+        world.kill(old.api._node)
+        await asyncio.sleep(10)
+        assert await world.poll("run-000001") == "running"
+        assert len(world.rules.finished) > done
+        assert max(world.rules.starts.values()) == 1
+
+    day(script)
