--- a/src/elmthread/sizing/service.py
+++ b/src/elmthread/sizing/service.py
@@ -245,7 +245,7 @@
         whole = not any(not want.urgent for want in wants) and all(not m.holds for m in pool)
         for machine in pool:
             if not machine.holds and now - machine.empty_since > (
-                IDLE if whole or machine.fading else self._patience(machine)
+                IDLE if whole else self._patience(machine)
             ):
                 self._fleet.give_up(machine, "the pool is idle")
 
