Readiness tells a node that is cut off from a time when nobody leads

A node without a leader went unready after 20 s, also where nobody led, and one cut off from the leader stayed ready as long.

--- a/src/elmthread/intake/api.py
+++ b/src/elmthread/intake/api.py
@@ -19,8 +19,11 @@
 SOON = seconds(1)
 # Users wait 5 s for a submission and 2 s for a poll; the answer must be on its way before.
 ASK_TIME = {"submit": seconds(4), "withdraw": seconds(4), "status": seconds(1.5)}
-# A node that has been without a leader for this long stops asking for users.
-PATIENCE = seconds(20)
+# A node that knows a leader it can't reach leaves users to nodes that can, after this time.
+CUT_OFF = seconds(4)
+# Where nobody leads, no node is better than another: users are told at once when to come
+# back, and a node taken out of service would be missing for a while after the trouble ends.
+VACANT = seconds(60)
 
 Beat = Callable[[Request], Awaitable[Response]]
 
@@ -65,7 +68,8 @@
         if self._intake() is not None or (leader is not None and self._peers.reaches(leader)):
             self._served_at = now
             self._ever = True
-        if self._ever and now - self._served_at < PATIENCE:
+        other = leader is not None and leader != self._node
+        if self._ever and now - self._served_at < (CUT_OFF if other else VACANT):
             return Response(200, {"ready": True})
         return again(503, SOON, "no leader")
 
--- a/src/elmthread/sizing/service.py
+++ b/src/elmthread/sizing/service.py
@@ -244,9 +244,7 @@
         pool = [m for m in self._book.machines.values() if m.pool and m.state is MachineState.UP]
         whole = not any(not want.urgent for want in wants) and all(not m.holds for m in pool)
         for machine in pool:
-            if not machine.holds and now - machine.empty_since > (
-                IDLE if whole else self._patience(machine)
-            ):
+            if not machine.holds and now - machine.empty_since > (IDLE if whole else self._patience(machine)):
                 self._fleet.give_up(machine, "the pool is idle")
 
     def _patience(self, machine: Machine) -> timedelta:
