--- a/src/elmthread/agents/service.py
+++ b/src/elmthread/agents/service.py
@@ -62,7 +62,7 @@
             report = messages.read_report(decode(request.body))
         except (BadBody, msgspec.ValidationError) as error:
             self.dropped += 1
-            log.info("report dropped: %s", error)
+            log.info("report dropped (%s so far): %s", self.dropped, error)
             return Response(400, {"error": "malformed report"})
         if report.token > self._tenure.token:
             self._tenure.hear(report.token)
@@ -185,7 +185,7 @@
         log.info("%s has %s attempt %s, which is not recorded", machine.name, task.name, task.attempt)
         if name is None or job is None or not 0 <= name[1] < job.total:
             return [{"verb": "halt", "piece": task.name, "try": task.attempt, "wind_down_s": 0}]
-        hold = self._book.hold(machine, job, name[1], task.attempt, HoldState.UNSEEN, now)
+        hold = self._book.hold(machine, job, name[1], task.attempt, HoldState.UNSEEN)
         hold.stop = Stop.KILL
         self._seen(hold, task, now)
         if name[1] in job.pending:
--- a/src/elmthread/controller.py
+++ b/src/elmthread/controller.py
@@ -289,7 +289,7 @@
                 continue
             for task, attempt in zip(numbers[::2], numbers[1::2], strict=True):
                 if not job.is_done(task) and job.state is not JobState.DONE:
-                    self.book.hold(machine, job, task, attempt, HoldState.UNSEEN, now)
+                    self.book.hold(machine, job, task, attempt, HoldState.UNSEEN)
 
     # Running
 
--- a/src/elmthread/ledger/writer.py
+++ b/src/elmthread/ledger/writer.py
@@ -123,10 +123,6 @@
             if not future.done():
                 future.set_exception(Stopped())
 
-    @property
-    def backlog(self) -> int:
-        return len(self._waiting)
-
     async def run(self) -> None:
         async with asyncio.TaskGroup() as lanes:
             for _ in range(LANES):
--- a/src/elmthread/placement/book.py
+++ b/src/elmthread/placement/book.py
@@ -141,9 +141,9 @@
 
 
 class Hold:
-    __slots__ = ("attempt", "job", "machine", "placed_at", "sent", "started_at", "state", "stop", "task")
+    __slots__ = ("attempt", "job", "machine", "sent", "started_at", "state", "stop", "task")
 
-    def __init__(self, job: Job, task: int, attempt: int, machine: "Machine", state: HoldState, now: timedelta) -> None:
+    def __init__(self, job: Job, task: int, attempt: int, machine: "Machine", state: HoldState) -> None:
         self.job = job
         self.task = task
         self.attempt = attempt
@@ -151,7 +151,6 @@
         self.state = state
         self.stop: Stop | None = None
         self.sent = False
-        self.placed_at = now
         self.started_at: timedelta | None = None
 
     def move(self, new: HoldState) -> None:
@@ -212,7 +211,6 @@
         "to_reap",
         "was_listed",
         "zone",
-        "successes",
     )
 
     def __init__(self, name: str, build: str, zone: str, spot: bool, state: MachineState, now: timedelta) -> None:
@@ -243,7 +241,6 @@
         self.listed = ""
         self.was_listed = False
         self.failures: dict[str, int] = {}
-        self.successes = 0
         self.suspect = False
         # (job, task, attempt) that exited with done and may be forgotten once that is durable.
         self.to_reap: dict[int, tuple[str, int]] = {}
@@ -287,8 +284,8 @@
         job.move(state)
         self.open_jobs.pop(job.id, None)
 
-    def hold(self, machine: Machine, job: Job, task: int, attempt: int, state: HoldState, now: timedelta) -> Hold:
-        hold = Hold(job, task, attempt, machine, state, now)
+    def hold(self, machine: Machine, job: Job, task: int, attempt: int, state: HoldState) -> Hold:
+        hold = Hold(job, task, attempt, machine, state)
         machine.holds[attempt] = hold
         spec = job.spec
         machine.cpus_used += spec.cpus
--- a/src/elmthread/placement/service.py
+++ b/src/elmthread/placement/service.py
@@ -50,7 +50,7 @@
             job = self._book.jobs[want.job]
             for _ in range(min(count, left)):
                 task = job.pending.popleft()
-                self._book.hold(machine, job, task, self._next_attempt(), HoldState.PLANNED, now)
+                self._book.hold(machine, job, task, self._next_attempt(), HoldState.PLANNED)
                 touched[machine.name] = machine
             left -= count
             if left <= 0:
