Repetition taken out: one work estimate, one count of usable cores, one core price

Sizing kept a copy of the leader's estimate, counted waiting cores within limits twice and looked for a job's places twice; the halt of an unknown task was written out by hand; fields that nothing read are gone.

--- a/src/elmthread/agents/messages.py
+++ b/src/elmthread/agents/messages.py
@@ -53,12 +53,12 @@
     return f"{job_id}/{task}"
 
 
-def start(job_id: str, task: int, attempt: int) -> dict[str, Any]:
-    return {"verb": "start", "piece": task_name(job_id, task), "try": attempt}
+def start(name: str, attempt: int) -> dict[str, Any]:
+    return {"verb": "start", "piece": name, "try": attempt}
 
 
-def halt(job_id: str, task: int, attempt: int, grace_s: float) -> dict[str, Any]:
-    return {"verb": "halt", "piece": task_name(job_id, task), "try": attempt, "wind_down_s": grace_s}
+def halt(name: str, attempt: int, grace_s: float) -> dict[str, Any]:
+    return {"verb": "halt", "piece": name, "try": attempt, "wind_down_s": grace_s}
 
 
 def reap(name: str, attempt: int) -> dict[str, Any]:
--- a/src/elmthread/agents/service.py
+++ b/src/elmthread/agents/service.py
@@ -133,8 +133,7 @@
     # What a report says
 
     def _take(self, machine: Machine, report: Report, now: timedelta) -> list[dict[str, Any]]:
-        if machine.address != report.address:
-            machine.address = report.address
+        machine.address = report.address
         if machine.state in (MachineState.BOOTING, MachineState.UNSURE):
             machine.move(MachineState.UP)
             machine.empty_since = now
@@ -184,7 +183,7 @@
         job = self._book.jobs.get(name[0]) if name else None
         log.info("%s has %s attempt %s, which is not recorded", machine.name, task.name, task.attempt)
         if name is None or job is None or not 0 <= name[1] < job.total:
-            return [{"verb": "halt", "piece": task.name, "try": task.attempt, "wind_down_s": 0}]
+            return [messages.halt(task.name, task.attempt, 0.0)]
         hold = self._book.hold(machine, job, name[1], task.attempt, HoldState.UNSEEN)
         hold.stop = Stop.KILL
         self._seen(hold, task, now)
@@ -199,6 +198,7 @@
         if hold is not None:
             log.debug("%s on %s ended: %s", task.name, machine.name, task.why)
             self._learn(machine, hold, task, now)
+        waiting = False
         if task.why == "done" and job is not None and name is not None and 0 <= name[1] < job.total:
             index = name[1]
             waiting = task.attempt in machine.to_reap
@@ -213,12 +213,9 @@
 
                 self._finished(job, index, durable)
                 waiting = True
-            if hold is not None:
-                self._drop(hold, now)
-            return not waiting
         if hold is not None:
             self._drop(hold, now)
-        return True
+        return not waiting
 
     def _learn(self, machine: Machine, hold: Hold, task: Task, now: timedelta) -> None:
         job = hold.job
@@ -247,6 +244,7 @@
         now = self._clock()
         for hold in list(machine.holds.values()):
             job = hold.job
+            name = messages.task_name(job.id, hold.task)
             if not job.open or job.is_done(hold.task):
                 hold.stop = Stop.KILL
             unwanted = hold.stop is not None or machine.state is not MachineState.UP
@@ -255,10 +253,10 @@
                 self._drop(hold, now)
             elif hold.stop is not None:
                 grace = job.spec.save_s if hold.stop is Stop.SAVE and job.spec.saves else 0.0
-                commands.append(messages.halt(job.id, hold.task, hold.attempt, grace))
+                commands.append(messages.halt(name, hold.attempt, grace))
             elif hold.state is HoldState.READY and leads and machine.state is MachineState.UP:
                 hold.sent = True
-                starts.append(messages.start(job.id, hold.task, hold.attempt))
+                starts.append(messages.start(name, hold.attempt))
         return commands + starts
 
 
--- a/src/elmthread/controller.py
+++ b/src/elmthread/controller.py
@@ -135,7 +135,7 @@
         self.placement = Placement(
             self.book, self._teams, clock, self._next_attempt, self.agents.assign, self._expected
         )
-        self.sizing = Sizing(self.book, self.fleet, self.placement, self.work, operators, clock)
+        self.sizing = Sizing(self.book, self.fleet, self.placement, self._expected, operators, clock)
         self.loaded = False
         self._change = asyncio.Event()
         self._shortfall = asyncio.Event()
--- a/src/elmthread/fleet/service.py
+++ b/src/elmthread/fleet/service.py
@@ -58,7 +58,6 @@
     count: int
     pool: bool
     since: timedelta
-    sent: bool = False
 
 
 class Fleet:
@@ -200,7 +199,6 @@
             if machine is None:
                 machine = self._adopt(listed, now)
             machine.was_listed = True
-            machine.listed = listed.state
             self._missing.pop(listed.name, None)
             if not machine.address and listed.address:
                 machine.address = listed.address
@@ -243,7 +241,6 @@
         if not self._leads():
             return
         kind = order.kind
-        order.sent = True
         try:
             names = await self._cloud.rent(order.name, kind.build, kind.zone, kind.spot, order.count)
         except NoCapacity:
--- a/src/elmthread/intake/service.py
+++ b/src/elmthread/intake/service.py
@@ -65,14 +65,11 @@
             self._book.add_job(known)
             log.info("%s: %s of %s, %s tasks of %s cpus", job.id, job.job_class, job.team, job.tasks, job.cpus)
             self._store(known)
-            created = True
-        else:
-            created = False
-        if known.stored is None:
+        created = known.stored is None
+        if created:
             failed = await self._stored(known.id)
             if failed is not None:
                 return failed
-            created = True
         if not self._tenure.leads():
             return again(503, SOON, "not leading")
         return Response(201 if created else 200, self._describe(known))
--- a/src/elmthread/placement/book.py
+++ b/src/elmthread/placement/book.py
@@ -194,7 +194,6 @@
         "holds",
         "images",
         "known_since",
-        "listed",
         "name",
         "newest",
         "pool",
@@ -238,7 +237,6 @@
         self.pool = False
         # Not needed as things stand: gets work only where no other machine has room.
         self.fading = False
-        self.listed = ""
         self.was_listed = False
         self.failures: dict[str, int] = {}
         self.suspect = False
@@ -256,6 +254,10 @@
     def free(self) -> float:
         return self.cpus - self.cpus_used
 
+    @property
+    def core_price(self) -> float:
+        return self.price / self.cpus if self.cpus else 0.0
+
     @property
     def serves(self) -> bool:
         """Takes work now, or will once it has booted."""
--- a/src/elmthread/sizing/service.py
+++ b/src/elmthread/sizing/service.py
@@ -3,6 +3,7 @@
 import logging
 import math
 from collections import deque
+from collections.abc import Callable
 from datetime import timedelta
 from typing import Any
 
@@ -13,7 +14,6 @@
 from elmthread.placement.service import Placement
 from elmthread.settings.operators import Operators
 from elmthread.sizing.decide import Band, Group, Offer, Supply, band, fewest
-from elmthread.sizing.work import WorkModel
 
 log = logging.getLogger(__name__)
 
@@ -42,22 +42,19 @@
         book: Book,
         fleet: Fleet,
         placement: Placement,
-        work: WorkModel,
+        expected: Callable[[Job], timedelta],
         operators: Operators,
         clock: Clock,
     ) -> None:
         self._book = book
         self._fleet = fleet
         self._placement = placement
-        self._work = work
+        self._expected = expected
         self._operators = operators
         self._clock = clock
         self._demand: deque[tuple[timedelta, float]] = deque()
         self.theta = operators.theta
 
-    def expected(self, job: Job) -> timedelta:
-        return self._work.run_time(job.spec.job_class, job.spec.expected_s)
-
     def round(self) -> None:
         if not self._fleet.types:
             return
@@ -65,13 +62,14 @@
         wants = self._placement.wants(now)
         rooms = self._placement.rooms()
         self._for_groups(wants, rooms, now)
-        self._for_band(wants, rooms, now)
-        self._fade(wants, rooms, now)
+        urgent = self._urgent(wants, rooms)
+        self._for_band(wants, urgent, now)
+        self._fade(wants, rooms, urgent, now)
 
     # Deferrable pressure
 
     def _for_groups(self, wants: list[Want], rooms: dict[str, Room], now: timedelta) -> None:
-        waiting = [want for want in wants if not want.urgent or not self._has_a_place(want)]
+        waiting = [want for want in wants if not want.urgent or not self._places(want)]
         self._return_pool(wants, now)
         # Cores count only for work that may use them: jobs are judged together with those
         # that allow the same machines. Otherwise cores of the wrong kind, or in pieces too
@@ -82,14 +80,11 @@
         alike: dict[tuple[Any, ...], list[Want]] = {}
         for group in kinds.values():
             alike.setdefault(self._places(group[0]), []).extend(group)
-        for together in alike.values():
-            self._rent_for(together, rooms, now)
-
-    def _has_a_place(self, want: Want) -> bool:
-        """Whether some machine, up or coming, could take the tasks at all."""
-        return bool(self._places(want))
+        for places, together in alike.items():
+            self._rent_for(together, set(places), rooms, now)
 
     def _places(self, want: Want) -> tuple[str, ...]:
+        """The machines, up or coming, that could take the tasks at all."""
         return tuple(
             machine.name
             for machine in self._book.machines.values()
@@ -100,12 +95,11 @@
             and want.ram <= machine.ram
         )
 
-    def _rent_for(self, waiting: list[Want], rooms: dict[str, Room], now: timedelta) -> None:
+    def _rent_for(self, waiting: list[Want], places: set[str], rooms: dict[str, Room], now: timedelta) -> None:
         offers = self._offers(waiting)
         if not offers:
             return
         groups, usable = self._groups(waiting, rooms, now, min(offer.boot for offer in offers))
-        places = set(self._places(waiting[0]))
         supplies = self._supplies(places, waiting[0], now)
         busy, ahead = self._running(places, now)
         usable -= sum(supply.cores for supply in supplies) - busy
@@ -124,7 +118,7 @@
         team_cores: dict[str, float] = {}
         for want in waiting:
             job = self._book.jobs[want.job]
-            each = self.expected(job).total_seconds()
+            each = self._expected(job).total_seconds()
             room = max(0.0, rooms[want.team].cpus - team_cores.get(want.team, 0.0))
             cores = min(room, want.count * want.cpus)
             team_cores[want.team] = team_cores.get(want.team, 0.0) + cores
@@ -173,7 +167,7 @@
         return cores, work
 
     def _left(self, hold: Hold, now: timedelta) -> float:
-        whole = self.expected(hold.job).total_seconds()
+        whole = self._expected(hold.job).total_seconds()
         if hold.started_at is None:
             return whole
         return max(whole - (now - hold.started_at).total_seconds(), whole * 0.2)
@@ -196,34 +190,25 @@
                         offers.append(Offer(kind.name, zone, spot, kind.cpus, price, kind.boot_s * BOOT))
         return offers
 
-    def _fade(self, wants: list[Want], rooms: dict[str, Room], now: timedelta) -> None:
+    def _fade(self, wants: list[Want], rooms: dict[str, Room], urgent: float, now: timedelta) -> None:
         """Marks the machines that booked and waiting work can do without, the dearest first.
 
         They are given nothing new while others have room. Where all that is left on one saves
         its progress and would fit elsewhere, it is moved: an exception to the design, where
         only an empty machine is returned, since long tasks kept dear machines for minutes.
         """
-        left = {name: room.cpus for name, room in rooms.items()}
-        demand = 0.0
-        for want in wants:
-            cores = max(0.0, min(left[want.team], want.count * want.cpus))
-            left[want.team] -= cores
-            demand += cores
-        serving = [m for m in self._book.machines.values() if m.state is MachineState.UP and m.open]
-        demand += sum(m.cpus_used for m in serving)
-        urgent = self._urgent(wants, rooms)
+        serving = [m for m in self._book.machines.values() if m.open]
+        demand = sum(m.cpus_used for m in serving) + _usable(wants, rooms)
         needed = max(demand * SLACK, urgent / max(self.theta - self._operators.delta, 0.05))
         spare = 0.0
         # Of equally dear machines the fuller are kept: the others are closer to being empty.
-        serving.sort(key=lambda m: (round(_core_price(m), 3), -m.cpus_used, m.name))
+        serving.sort(key=lambda m: (round(m.core_price, 3), -m.cpus_used, m.name))
         for machine in serving:
             machine.fading = needed <= 0
             needed -= machine.cpus
             if not machine.fading:
                 spare += machine.free
-            elif (
-                machine.holds and machine.cpus_used <= spare and _core_price(machine) >= DEAR * _core_price(serving[0])
-            ):
+            elif machine.holds and machine.cpus_used <= spare and machine.core_price >= DEAR * serving[0].core_price:
                 spare -= machine.cpus_used
                 self._move_away(machine, now)
 
@@ -262,16 +247,9 @@
             for hold in machine.holds.values()
             if hold.job.urgent
         )
-        left = {name: room.cpus for name, room in rooms.items()}
-        for want in wants:
-            if want.urgent:
-                cores = max(0.0, min(left[want.team], want.count * want.cpus))
-                left[want.team] -= cores
-                booked += cores
-        return booked
+        return booked + _usable([want for want in wants if want.urgent], rooms)
 
-    def _for_band(self, wants: list[Want], rooms: dict[str, Room], now: timedelta) -> None:
-        urgent = self._urgent(wants, rooms)
+    def _for_band(self, wants: list[Want], urgent: float, now: timedelta) -> None:
         self._track(urgent, now)
         outside = [
             m
@@ -323,9 +301,16 @@
             and urgent <= most * (cores - m.cpus)
         ]
         if empty:
-            machine = max(empty, key=_core_price)
+            machine = max(empty, key=lambda m: m.core_price)
             self._fleet.give_up(machine, "not needed")
 
 
-def _core_price(machine: Machine) -> float:
-    return machine.price / machine.cpus if machine.cpus else 0.0
+def _usable(wants: list[Want], rooms: dict[str, Room]) -> float:
+    """Cores that waiting tasks could use at once within their teams' limits."""
+    left = {name: room.cpus for name, room in rooms.items()}
+    total = 0.0
+    for want in wants:
+        cores = max(0.0, min(left[want.team], want.count * want.cpus))
+        left[want.team] -= cores
+        total += cores
+    return total
