--- a/src/elmthread/agents/service.py
+++ b/src/elmthread/agents/service.py
@@ -17,10 +17,10 @@
 from elmthread.agents import messages
 from elmthread.agents.health import Health
 from elmthread.agents.messages import Report, Task
-from elmthread.common.clock import Clock, seconds
+from elmthread.common.clock import Clock, at_least, seconds
 from elmthread.common.http import BadBody, Request, Response, again, decode
 from elmthread.leadership.election import Tenure
-from elmthread.ledger.records import machine_key, machine_record, to_store
+from elmthread.ledger.records import machine_key, machine_record
 from elmthread.ledger.writer import Rank, Writer
 from elmthread.placement.book import SEEN, Book, Hold, HoldState, Job, Machine, MachineState, Stop
 from elmthread.sizing.work import WorkModel
@@ -28,6 +28,9 @@
 log = logging.getLogger(__name__)
 
 MOST_ORDERS = 300
+LINGER = seconds(0.4)
+# Answers that started something in vain, one after the other, before a machine is taken for deaf.
+MISSED = 3
 STATES = {"fetching": HoldState.FETCHING, "running": HoldState.RUNNING, "saving": HoldState.SAVING}
 
 
@@ -39,9 +42,11 @@
         writer: Writer,
         work: WorkModel,
         clock: Clock,
+        lease: timedelta,
         describe: Callable[[Machine], None],
         finished: Callable[[Job, int, Callable[[], None]], None],
         changed: Callable[[], None],
+        work_waits: Callable[[], bool],
     ) -> None:
         self._book = book
         self._tenure = tenure
@@ -51,6 +56,9 @@
         self._describe = describe
         self._finished = finished
         self._changed = changed
+        self._work_waits = work_waits
+        # A session this old, by our clock, has had answers.
+        self._proof = at_least(lease) + seconds(1)
         self.health = Health()
         self.dropped = 0
         self._waiting: dict[str, asyncio.Event] = {}
@@ -76,18 +84,22 @@
             self.dropped += 1
             return again(503, seconds(1), "an older report")
         now = self._clock()
-        machine.newest = (report.session, report.sequence)
-        machine.reported_at = now
-        machine.quiet = False
         if report.token < self._tenure.token:
             # The first answer carries our token; what the next report lists, no earlier
-            # leader can change any more.
+            # leader can change any more. Until then this may be a late copy of a report that
+            # an earlier leader has had: it is no sign of life.
+            machine.newest = (report.session, report.sequence)
             return self._answer(machine, [])
-        commands = self._take(machine, report, now)
-        if machine.state is MachineState.UP and self._may_come(machine):
+        self._listen(machine, report, now)
+        machine.newest = (report.session, report.sequence)
+        machine.reported_at = now
+        machine.quiet = False
+        exits, commands = self._take(machine, report, now)
+        if machine.open and self._may_come(machine):
             await self._linger(machine)
             if not self._tenure.answers_workers():
                 return Response(421, messages.elsewhere(self._tenure.leader))
+        commands += [messages.reap(task.name, task.attempt) for task in exits if task.attempt not in machine.to_reap]
         commands += self._commands(machine)
         return self._answer(machine, commands[:MOST_ORDERS])
 
@@ -99,18 +111,39 @@
         """A machine nobody told us of: rented by a late request or by an earlier leader."""
         machine = Machine(report.machine, report.type, report.zone, report.spot, MachineState.UNSURE, self._clock())
         self._describe(machine)
-        self._book.machines[machine.name] = machine
+        self._book.add_machine(machine)
         return machine
 
+    def _listen(self, machine: Machine, report: Report, now: timedelta) -> None:
+        """Whether our answers reach the machine, as far as its reports show.
+
+        A session rises when no answer has arrived for a lease; a start that the next report
+        does not list was in an answer that got lost. Only a session that outlasts a lease
+        proves that answers arrive.
+        """
+        session = machine.newest[0]
+        if report.session != session:
+            if machine.reported_at is not None:
+                log.info("%s has let its lease run out: nothing new until answers are seen to arrive", machine.name)
+                machine.deaf_since = machine.deaf_since or now
+            machine.session_since = now
+        elif machine.deaf_since is not None and now - max(machine.session_since, machine.deaf_since) > self._proof:
+            log.info("%s hears our answers again", machine.name)
+            machine.deaf_since = None
+            machine.missed = 0
+
     def _may_come(self, machine: Machine) -> bool:
-        return machine.open and any(hold.state is HoldState.PLANNED for hold in machine.holds.values())
+        """Starts are being made durable for it, or it has room and there is work that waits."""
+        return (machine.cpus - machine.cpus_used >= 1.0 and self._work_waits()) or any(
+            hold.state is HoldState.PLANNED for hold in machine.holds.values()
+        )
 
     async def _linger(self, machine: Machine) -> None:
         """Waits a moment for starts that are being made durable: quicker than the next report."""
         event = self._waiting.setdefault(machine.name, asyncio.Event())
         event.clear()
         try:
-            async with asyncio.timeout(0.4):
+            async with asyncio.timeout(LINGER.total_seconds()):
                 await event.wait()
         except TimeoutError:
             pass
@@ -128,12 +161,15 @@
             if event is not None:
                 event.set()
 
-        self._writer.write(machine_key(machine.name), Rank.ASSIGN, lambda: to_store(machine_record(machine)), durable)
+        self._writer.write(machine_key(machine.name), Rank.ASSIGN, lambda: machine_record(machine), durable)
 
     # What a report says
 
-    def _take(self, machine: Machine, report: Report, now: timedelta) -> list[dict[str, Any]]:
-        machine.address = report.address
+    def _take(self, machine: Machine, report: Report, now: timedelta) -> tuple[list[Task], list[dict[str, Any]]]:
+        """Takes in what the report lists.
+
+        Returns the exited tasks, to be forgotten when that is safe, and stops of what nobody knows.
+        """
         if machine.state in (MachineState.BOOTING, MachineState.UNSURE):
             machine.move(MachineState.UP)
             machine.empty_since = now
@@ -142,27 +178,34 @@
             log.info("%s will be taken in %.1f s", machine.name, report.notice_s)
             machine.recall_at = now + seconds(max(0.0, report.notice_s))
             self._changed()
-        commands: list[dict[str, Any]] = []
+        exits: list[Task] = []
+        stops: list[dict[str, Any]] = []
         listed: set[int] = set()
         for task in report.tasks:
             listed.add(task.attempt)
             hold = machine.holds.get(task.attempt)
             if task.state == "exited":
-                if self._exited(machine, hold, task, now):
-                    commands.append(messages.reap(task.name, task.attempt))
+                self._exited(machine, hold, task, now)
+                exits.append(task)
             elif hold is not None:
                 self._seen(hold, task, now)
             else:
-                commands += self._unexpected(machine, task, now)
-        for hold in list(machine.holds.values()):
-            if hold.attempt not in listed and hold.state in _MUST_BE_LISTED:
+                stops += self._unexpected(machine, task, now)
+        lost = False
+        for hold in [hold for hold in machine.holds.values() if hold.attempt not in listed]:
+            if hold.state in _MUST_BE_LISTED:
                 # Killed with its session, or never sent by the leader before us.
                 log.info("%s no longer has %s/%s", machine.name, hold.job.id, hold.task)
                 self._drop(hold, now)
-            elif hold.attempt not in listed:
+            elif hold.sent:
                 # The answer that carried its start was lost, and won't be executed any more.
                 hold.sent = False
-        return commands
+                lost = True
+        machine.missed = machine.missed + 1 if lost else 0
+        if machine.missed >= MISSED and machine.deaf_since is None:
+            log.info("%s does not start what it is told to: nothing new until answers are seen to arrive", machine.name)
+            machine.deaf_since = now
+        return exits, stops
 
     def _seen(self, hold: Hold, task: Task, now: timedelta) -> None:
         state = STATES.get(task.state)
@@ -191,17 +234,15 @@
             job.pending.remove(name[1])
         return []
 
-    def _exited(self, machine: Machine, hold: Hold | None, task: Task, now: timedelta) -> bool:
-        """Takes in the end of a task; True if the worker may forget it now."""
+    def _exited(self, machine: Machine, hold: Hold | None, task: Task, now: timedelta) -> None:
+        """Takes in the end of a task. While it stands in `to_reap`, the worker must not forget it."""
         name = task.split()
         job = hold.job if hold is not None else self._book.jobs.get(name[0]) if name else None
         if hold is not None:
             log.debug("%s on %s ended: %s", task.name, machine.name, task.why)
             self._learn(machine, hold, task, now)
-        waiting = False
         if task.why == "done" and job is not None and name is not None and 0 <= name[1] < job.total:
             index = name[1]
-            waiting = task.attempt in machine.to_reap
             if job.open and not job.is_done(index):
                 job.set_done(index)
                 if hold is None and index in job.pending:
@@ -212,10 +253,8 @@
                     machine.to_reap.pop(task.attempt, None)
 
                 self._finished(job, index, durable)
-                waiting = True
         if hold is not None:
             self._drop(hold, now)
-        return not waiting
 
     def _learn(self, machine: Machine, hold: Hold, task: Task, now: timedelta) -> None:
         job = hold.job
@@ -247,14 +286,14 @@
             name = messages.task_name(job.id, hold.task)
             if not job.open or job.is_done(hold.task):
                 hold.stop = Stop.KILL
-            unwanted = hold.stop is not None or machine.state is not MachineState.UP
+            unwanted = hold.stop is not None or machine.state is not MachineState.UP or machine.deaf_since is not None
             if unwanted and hold.state in (HoldState.PLANNED, HoldState.READY) and not hold.sent:
                 # No start is on its way, so it is surely not there.
                 self._drop(hold, now)
             elif hold.stop is not None:
                 grace = job.spec.save_s if hold.stop is Stop.SAVE and job.spec.saves else 0.0
                 commands.append(messages.halt(name, hold.attempt, grace))
-            elif hold.state is HoldState.READY and leads and machine.state is MachineState.UP:
+            elif hold.state is HoldState.READY and leads and not unwanted:
                 hold.sent = True
                 starts.append(messages.start(name, hold.attempt))
         return commands + starts
--- a/src/elmthread/common/http.py
+++ b/src/elmthread/common/http.py
@@ -5,6 +5,7 @@
 from collections.abc import Awaitable, Callable, Mapping
 from dataclasses import dataclass, field
 from datetime import timedelta
+from functools import lru_cache
 from typing import Any, Protocol
 from urllib.parse import parse_qsl, urlsplit
 
@@ -164,25 +165,31 @@
     return 0
 
 
+# h11 checks every header anew each time an event is made; a few events serve all answers.
+_END = h11.EndOfMessage()
+
+
+@lru_cache(maxsize=512)
+def _head(status: int, length: int, retry: int | None, close: bool) -> h11.Response:
+    headers = [(b"content-type", b"application/cbor"), (b"content-length", b"%d" % length)]
+    if retry is not None:
+        headers.append((b"retry-after", b"%d" % retry))
+    if close:
+        headers.append((b"connection", b"close"))
+    return h11.Response(status_code=status, headers=headers, reason=REASONS.get(status, b""))
+
+
 def _encode(conn: h11.Connection, response: Response) -> bytes:
     payload = b"" if response.body is None else cbor2.dumps(response.body)
-    headers = [(b"content-type", b"application/cbor"), (b"content-length", b"%d" % len(payload))]
-    if response.retry_after is not None:
-        headers.append((b"retry-after", b"%d" % max(1, round(response.retry_after.total_seconds()))))
-    if response.close:
-        headers.append((b"connection", b"close"))
-    out = [
-        conn.send(
-            h11.Response(
-                status_code=response.status,
-                headers=headers,
-                reason=REASONS.get(response.status, b""),
-            )
-        ),
-        conn.send(h11.Data(data=payload)) if payload else b"",
-        conn.send(h11.EndOfMessage()),
-    ]
-    return b"".join(part for part in out if part)
+    after = response.retry_after
+    retry = None if after is None else max(1, round(after.total_seconds()))
+    head = conn.send(_head(response.status, len(payload), retry, response.close))
+    if payload:
+        # With a length given, h11 passes the body through as it is.
+        conn.send(h11.Data(data=payload))
+    conn.send(_END)
+    assert head is not None
+    return head + payload
 
 
 class NoAnswer(Exception):
--- a/src/elmthread/controller.py
+++ b/src/elmthread/controller.py
@@ -3,6 +3,7 @@
 import asyncio
 import logging
 from datetime import UTC, datetime, timedelta
+from functools import partial
 from typing import Any
 
 import msgspec
@@ -21,8 +22,10 @@
 from elmthread.ledger import messages as ledger_messages
 from elmthread.ledger import records
 from elmthread.ledger.client import StateClient, Unavailable, Unsure
+from elmthread.ledger.log import SLOTS, Slots
 from elmthread.ledger.pacing import Bucket
-from elmthread.ledger.writer import Writer
+from elmthread.ledger.records import LAYOUT
+from elmthread.ledger.writer import Rank, Writer
 from elmthread.peers.link import Peers
 from elmthread.peers.messages import Ask, Lead, Reply
 from elmthread.placement.book import Book, HoldState, Job, JobState, Machine, MachineState
@@ -40,8 +43,12 @@
 # cancel_s: an old leader's last answers and the worker's lease must both fit into it.
 CANCEL_SLACK = seconds(4)
 ROUND = seconds(0.1)
-GATHER = seconds(0.3)
+GATHER = seconds(0.5)
+# A round of decisions that takes this long is told of in the log.
+SLOW = seconds(0.3)
 PAGE = 400
+# Records taken in before other work gets a turn: renewals must not wait for a large load.
+BREATH = 100
 # Attempts are unique for ever: the token, which grows with each leadership, and a count.
 ATTEMPTS = 10_000_000
 # Parts of the state service's rates: the rest is for renewals and the other nodes.
@@ -84,13 +91,13 @@
         self._attempts = token * ATTEMPTS
         self._rentals = 0
         self._chunk = records.chunk_tasks(facts.state.value_kb)
-        self._stamps: dict[str, int] = {}
+        self._slots = Slots(int(facts.state.value_kb * 1024))
         rate = facts.state.write_rps * LEADERS_PART
         self.book = Book(records.most_holds(facts.state.value_kb))
         self.writer = Writer(
             state,
             token,
-            self._stamps,
+            self._slots,
             Bucket(rate, rate, clock),
             facts.state.txn_ops,
             clock,
@@ -128,9 +135,11 @@
             self.writer,
             self.work,
             clock,
+            facts.workers.lease,
             self.fleet.describe,
             self.intake.finished,
             self.changed,
+            lambda: self.placement.waiting,
         )
         self.placement = Placement(
             self.book, self._teams, clock, self._next_attempt, self.agents.assign, self._expected
@@ -145,6 +154,7 @@
 
     def accepted(self) -> None:
         """A job came: late groups are rented for at once, not at the next check."""
+        self.placement.stale()
         self._change.set()
         self._shortfall.set()
 
@@ -212,22 +222,23 @@
 
     async def load(self) -> None:
         """Rebuilds the view: jobs, done tasks, assignments, rentals in doubt, machine types."""
-        for item in await self._all("j/"):
-            self._load_job(item)
-        for item in await self._all("d/"):
-            _, job_id, chunk = item.key.rsplit("/", 2) if item.key.count("/") == 2 else ("", "", "")
-            job = self.book.jobs.get(job_id)
-            if job is not None and job.open:
-                records.mark_done(job, int(chunk), msgspec.convert(item.value, records.DoneRecord))
-            else:
-                self.writer.delete(item.key)
-        for item in await self._all("m/"):
-            self._load_machine(item)
-        for item in await self._all("r/"):
-            # Whether it was carried out shows in the machine list; the name is never used again.
-            self.writer.delete(item.key)
-        for item in await self._all("t/"):
-            self.fleet.set_types(msgspec.convert(item.value, list[Type]))
+        view = self._slots.load((item.key, item.value, item.stamp) for item in await self._all(SLOTS))
+        if LAYOUT not in view:
+            await self._adopt_earlier_layout(view)
+        count = 0
+        for prefix, read in (
+            ("j/", self._load_job),
+            ("d/", self._load_marks),
+            ("m/", self._load_machine),
+            ("r/", self._load_rental),
+            ("t/", self._load_types),
+        ):
+            for key, value in view.items():
+                if key.startswith(prefix):
+                    read(key, value)
+                    count += 1
+                    if count % BREATH == 0:
+                        await asyncio.sleep(0)
         for job in list(self.book.open_jobs.values()):
             job.refill()
             if job.count_done == job.total:
@@ -240,6 +251,25 @@
             len(self.book.machines),
         )
 
+    async def _adopt_earlier_layout(self, view: dict[str, Any]) -> None:
+        """Takes over records that stand under keys of their own, as an earlier version wrote them."""
+        found = [
+            item for prefix in ("j/", "d/", "m/", "t/") for item in await self._all(prefix) if item.key not in view
+        ]
+        left = len(found)
+
+        def taken_over() -> None:
+            nonlocal left
+            left -= 1
+            if left <= 0:
+                self.writer.write(LAYOUT, Rank.TIDY, lambda: 2)
+
+        for item in found:
+            view[item.key] = item.value
+            self.writer.write(item.key, Rank.TIDY, partial(_same, item.value), taken_over)
+        if not found:
+            taken_over()
+
     async def _all(self, prefix: str) -> list[ledger_messages.Item]:
         items: list[ledger_messages.Item] = []
         after = None
@@ -250,18 +280,16 @@
                 log.info("loading %s: %s", prefix, error)
                 await asyncio.sleep(0.2)
                 continue
-            for item in page.items:
-                self._stamps[item.key] = item.stamp
             items += page.items
             if not page.more or not page.items:
                 return items
             after = page.items[-1].key
 
-    def _load_job(self, item: ledger_messages.Item) -> None:
-        record = msgspec.convert(item.value, records.JobRecord)
+    def _load_job(self, key: str, value: Any) -> None:
+        record = msgspec.convert(value, records.JobRecord)
         state = JobState(record.state)
         if record.spec is None:
-            spec = _finished_spec(item.key.removeprefix("j/"), record.tasks)
+            spec = _finished_spec(key.removeprefix("j/"), record.tasks)
             job = Job(spec, datetime.now(UTC), self._clock(), seconds(0), False, self._chunk)
         else:
             submitted = records.submitted_at(record)
@@ -275,14 +303,27 @@
             job.count_done = job.total
         self.book.add_job(job)
 
-    def _load_machine(self, item: ledger_messages.Item) -> None:
-        record = msgspec.convert(item.value, records.MachineRecord)
-        name = item.key.removeprefix("m/")
-        now = self._clock()
-        machine = Machine(name, record.build, record.zone, record.spot, MachineState.UNSURE, now)
-        machine.address = record.address
+    def _load_marks(self, key: str, value: Any) -> None:
+        _, job_id, chunk = key.split("/")
+        job = self.book.jobs.get(job_id)
+        if job is not None and job.open:
+            records.mark_done(job, int(chunk), msgspec.convert(value, records.DoneRecord))
+        else:
+            self.writer.delete(key)
+
+    def _load_rental(self, key: str, value: Any) -> None:
+        # Whether it was carried out shows in the machine list; the name is never used again.
+        self.writer.delete(key)
+
+    def _load_types(self, key: str, value: Any) -> None:
+        self.fleet.set_types(msgspec.convert(value, list[Type]))
+
+    def _load_machine(self, key: str, value: Any) -> None:
+        record = msgspec.convert(value, records.MachineRecord)
+        name = key.removeprefix("m/")
+        machine = Machine(name, record.build, record.zone, record.spot, MachineState.UNSURE, self._clock())
         machine.pool = record.pool
-        self.book.machines[name] = machine
+        self.book.add_machine(machine)
         for job_id, numbers in record.holds.items():
             job = self.book.jobs.get(job_id)
             if job is None:
@@ -311,23 +352,31 @@
             except TimeoutError:
                 pass
             self._change.clear()
+            began = self._clock()
             if self.tenure.leads():
                 self.placement.round()
-            await asyncio.sleep(ROUND.total_seconds())
+            await asyncio.sleep(self._pause(ROUND, began))
+
+    def _pause(self, least: timedelta, began: timedelta) -> float:
+        """However much there is to decide, most of the processor is left to everything else."""
+        took = self._clock() - began
+        if took > SLOW:
+            log.info("a round of decisions took %.2f s", took.total_seconds())
+        return max(least, took * 3).total_seconds()
 
     async def _size(self) -> None:
         while True:
+            self._shortfall.clear()
+            began = self._clock()
             if self.tenure.leads():
                 self.sizing.round()
-            self._shortfall.clear()
+            await asyncio.sleep(self._pause(GATHER, began))
             try:
                 async with asyncio.timeout(self._operators.check.total_seconds()):
+                    # What comes together is judged together.
                     await self._shortfall.wait()
             except TimeoutError:
                 pass
-            else:
-                # What comes together is judged together.
-                await asyncio.sleep(GATHER.total_seconds())
 
     def stop(self) -> None:
         self.writer.stop()
@@ -357,6 +406,10 @@
     )
 
 
+def _same(value: Any) -> Any:
+    return value
+
+
 class Controller:
     def __init__(
         self,
--- a/src/elmthread/fleet/client.py
+++ b/src/elmthread/fleet/client.py
@@ -16,6 +16,7 @@
 CALL_TIME = seconds(5)
 MOST_DELETED = 100
 MOST_RENTED = 50
+MOST_LISTED = 500
 
 
 class Trouble(Exception):
@@ -41,7 +42,7 @@
     async def delete(self, names: list[str]) -> None:
         await self._call("POST", "/hosts/delete", messages.deletion(names))
 
-    async def page(self, after: str | None, most: int = 500) -> messages.Page:
+    async def page(self, after: str | None, most: int = MOST_LISTED) -> messages.Page:
         since = "" if after is None else f"&since={after}"
         return _read(await self._call("GET", f"/hosts?most={most}{since}"), messages.Page)
 
--- a/src/elmthread/fleet/messages.py
+++ b/src/elmthread/fleet/messages.py
@@ -35,7 +35,6 @@
     msgspec.Struct,
     rename={
         "name": "name_id",
-        "address": "endpoint",
         "type": "build",
         "zone": "yard",
         "spot": "loaners",
@@ -49,7 +48,6 @@
     spot: bool
     state: str
     age_s: float = 0.0
-    address: str | None = None
 
 
 class Page(msgspec.Struct, rename={"machines": "looms", "more": "has_next"}):
--- a/src/elmthread/fleet/service.py
+++ b/src/elmthread/fleet/service.py
@@ -15,13 +15,12 @@
 
 from elmthread.common.clock import Clock, at_least, seconds
 from elmthread.fleet import messages
-from elmthread.fleet.client import MOST_DELETED, CloudClient, NoCapacity, Trouble
+from elmthread.fleet.client import MOST_DELETED, MOST_LISTED, MOST_RENTED, CloudClient, NoCapacity, Trouble
 from elmthread.ledger.records import (
     TYPES,
     RentalRecord,
     machine_key,
     rental_key,
-    to_store,
 )
 from elmthread.ledger.writer import Rank, Writer
 from elmthread.placement.book import Book, Machine, MachineState
@@ -29,6 +28,9 @@
 log = logging.getLogger(__name__)
 
 TICK = seconds(0.2)
+JUDGE_EVERY = seconds(0.5)
+# A machine that will be taken is deleted this long before: by then all on it has been saved.
+TAKEN = seconds(1)
 TYPES_EVERY = seconds(60)
 # A type, zone and kind that was refused is not asked for again so soon.
 REFUSED = seconds(40)
@@ -37,6 +39,8 @@
 MISSING = 3
 # A machine silent for this part of its lease has missed reports and gets nothing new.
 QUIET = 0.4
+# A machine whose reports have shown for this many leases that our answers don't arrive is returned.
+DEAF = 3
 # A machine that has not come up after this many times its usual boot time is given up.
 BOOTS = 2.5
 BOOT_SLACK = seconds(10)
@@ -93,6 +97,7 @@
         self._missing: dict[str, int] = {}
         self._deleting: set[str] = set()
         self._listed_at: timedelta | None = None
+        self._judged_at: timedelta | None = None
         self._types_at: timedelta | None = None
         self._tasks: set[asyncio.Task[None]] = set()
 
@@ -116,7 +121,9 @@
     async def run(self) -> None:
         while True:
             if self._leads():
-                self._judge()
+                if self._due(self._judged_at, JUDGE_EVERY):
+                    self._judged_at = self._clock()
+                    self._judge()
                 self._start_calls()
             await asyncio.sleep(TICK.total_seconds())
 
@@ -145,7 +152,8 @@
             self._spawn(self._learn_types())
 
     def _list_every(self) -> timedelta:
-        return max(self._lag / 2, seconds(3 / self._cloud.calls.rate))
+        pages = 1 + len(self._book.machines) // MOST_LISTED
+        return max(self._lag / 2, seconds(3 * pages / self._cloud.calls.rate))
 
     def _due(self, last: timedelta | None, every: timedelta) -> bool:
         return last is None or self._clock() - last >= every
@@ -168,7 +176,7 @@
         fresh = not self.types
         self.set_types(types)
         if fresh:
-            self._writer.write(TYPES, Rank.ASSIGN, lambda: [to_store(kind) for kind in types])
+            self._writer.write(TYPES, Rank.ASSIGN, lambda: types)
 
     # Lists
 
@@ -182,6 +190,8 @@
                 if not page.more or not page.machines:
                     break
                 after = page.machines[-1].name
+                while not self._cloud.calls.take():
+                    await asyncio.sleep(self._cloud.calls.wait().total_seconds())
         except (Trouble, NoCapacity) as error:
             log.info("list: %s", error)
             return
@@ -200,8 +210,6 @@
                 machine = self._adopt(listed, now)
             machine.was_listed = True
             self._missing.pop(listed.name, None)
-            if not machine.address and listed.address:
-                machine.address = listed.address
             if listed.state == "failed":
                 # Stopped on its own. When it stopped is not known; the deletion's answer is proof.
                 self.give_up(machine, "listed as failed")
@@ -217,7 +225,7 @@
         machine = Machine(listed.name, listed.type, listed.zone, listed.spot, state, now)
         machine.known_since = now - seconds(listed.age_s)
         self.describe(machine)
-        self._book.machines[machine.name] = machine
+        self._book.add_machine(machine)
         log.info("%s is in the list", machine.name)
         return machine
 
@@ -225,12 +233,15 @@
 
     def order(self, kind: Kind, count: int, pool: bool) -> None:
         """Rents machines: the request's name is durable before it is sent, and never used again."""
+        while count > MOST_RENTED:
+            self.order(kind, MOST_RENTED, pool)
+            count -= MOST_RENTED
         order = Order(self._next_name(), kind, count, pool, self._clock())
         self.orders[order.name] = order
         record = RentalRecord(kind.build, kind.zone, kind.spot, count, pool)
         log.info("renting %s %s", count, kind)
         self._writer.write(
-            rental_key(order.name), Rank.ASSIGN, lambda: to_store(record), lambda: self._ready.append(order)
+            rental_key(order.name), Rank.ASSIGN, lambda: record, lambda: self._ready.append(order)
         )
 
     def refused(self, kind: Kind) -> bool:
@@ -263,7 +274,7 @@
             if machine is None:
                 machine = Machine(name, kind.build, kind.zone, kind.spot, MachineState.BOOTING, now)
                 self.describe(machine)
-                self._book.machines[name] = machine
+                self._book.add_machine(machine)
             machine.pool = order.pool
         self._over(order)
         if len(names) < order.count:
@@ -328,8 +339,10 @@
                 continue
             machine.quiet = self._silence(machine, now) > self._lease * QUIET
             self._expire(machine, now)
-            if machine.recall_at is not None and now >= machine.recall_at - seconds(0.8):
+            if machine.recall_at is not None and now >= machine.recall_at - TAKEN:
                 self.give_up(machine, "taken back")
+            elif machine.deaf_since is not None and now - machine.deaf_since > self._lease * DEAF:
+                self.give_up(machine, "our answers do not reach it")
             elif machine.suspect and not machine.holds:
                 self.give_up(machine, "fails tasks")
             elif self._silence(machine, now) > self._lease + self._lag * 2:
--- a/src/elmthread/intake/service.py
+++ b/src/elmthread/intake/service.py
@@ -11,9 +11,9 @@
 from elmthread.intake import messages
 from elmthread.intake.messages import Submission
 from elmthread.leadership.election import Tenure
-from elmthread.ledger.records import done_key, done_record, job_key, job_record, to_store
+from elmthread.ledger.records import done_key, done_record, job_key, job_record
 from elmthread.ledger.writer import Rank, Stopped, Writer
-from elmthread.placement.book import Book, HoldState, Job, JobState
+from elmthread.placement.book import Book, Job, JobState
 
 log = logging.getLogger(__name__)
 
@@ -87,7 +87,7 @@
 
         def make() -> Any:
             job.writing = job.state
-            return to_store(job_record(job))
+            return job_record(job)
 
         return make
 
@@ -163,8 +163,7 @@
         """The job as the store has it; done and running counts are for display."""
         stored = job.stored
         if stored is JobState.OPEN or stored is None:
-            running = sum(1 for hold in job.live.values() if hold.state is HoldState.RUNNING)
-            return messages.status(job.id, "running" if running else "queued", job.count_done, running)
+            return messages.status(job.id, "running" if job.running else "queued", job.count_done, job.running)
         done = job.total if stored is JobState.DONE else job.count_done
         return messages.status(job.id, stored.value, done, 0)
 
@@ -182,4 +181,4 @@
             self._writer.write(job_key(job.id), Rank.DONE, self._record(job), stored)
             return
         chunk = task // job.chunk
-        self._writer.write(done_key(job.id, chunk), Rank.DONE, lambda: to_store(done_record(job, chunk)), durable)
+        self._writer.write(done_key(job.id, chunk), Rank.DONE, lambda: done_record(job, chunk), durable)
--- /dev/null
+++ b/src/elmthread/ledger/log.py
@@ -0,0 +1,176 @@
+"""Records packed into slots: what many small records cost as one change each, one slot costs.
+
+A slot is a key `s/NNNN` whose value holds a sequence number and a text of many records.
+Each transaction fills slots that hold nothing current, so a record's newest version is the
+one in the slot with the highest number. Slots are written over and never deleted: a slot's
+stamp only grows, and a transaction that guards on it can be carried out once at most.
+
+A deleted record is kept as a null for as long as an older version of it stands in any slot,
+current or not: a reader must not find that one again.
+"""
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from typing import Any
+
+import msgspec
+
+SLOTS = "s/"
+# Room in a value for its own frame, and for characters that the text's quoting adds.
+FRAME = 64
+
+
+class SlotRecord(msgspec.Struct):
+    number: int
+    text: str
+
+
+class Misread(Exception):
+    """A slot that can't be read: named, and never taken for empty."""
+
+
+def pack(records: dict[str, str]) -> str:
+    """`records` holds values as JSON already."""
+    return "{" + ",".join(f"{quoted(key)}:{text}" for key, text in records.items()) + "}"
+
+
+def quoted(key: str) -> str:
+    return msgspec.json.encode(key).decode()
+
+
+def text_of(value: Any) -> str:
+    return msgspec.json.encode(value).decode()
+
+
+def weight(key: str, text: str) -> int:
+    """Bytes that a record takes in a slot's value, its quotes escaped once more."""
+    whole = key + text
+    return len(whole.encode()) + whole.count('"') + whole.count("\\") + 8
+
+
+@dataclass(slots=True, eq=False)
+class Slot:
+    key: str
+    stamp: int = 0
+    # Every record that stands in it, current or not.
+    keys: frozenset[str] = frozenset()
+    # Those of them of which no newer version is durable, and the bytes they take.
+    current: set[str] = field(default_factory=set)
+    live: int = 0
+
+
+class Slots:
+    """Where each record's newest durable version stands, and which slots may be written over."""
+
+    def __init__(self, value_bytes: int) -> None:
+        self.most = value_bytes - FRAME
+        self.number = 0
+        self._slots: dict[str, Slot] = {}
+        self._free: list[Slot] = []
+        self._taken: set[str] = set()
+        self._where: dict[str, Slot] = {}
+        self._texts: dict[str, str] = {}
+        # In how many slots a version of the record stands.
+        self._copies: dict[str, int] = {}
+
+    # Reading
+
+    def load(self, items: Iterable[tuple[str, Any, int]]) -> dict[str, Any]:
+        """Takes in all slots as (key, value, stamp); returns the newest version of each record."""
+        read = []
+        for key, value, stamp in items:
+            try:
+                slot = msgspec.convert(value, SlotRecord)
+                records: dict[str, msgspec.Raw] = msgspec.json.decode(slot.text, type=dict[str, msgspec.Raw])
+            except msgspec.MsgspecError as error:
+                raise Misread(f"{key}: {error}") from error
+            read.append((slot.number, key, stamp, {name: bytes(raw).decode() for name, raw in records.items()}))
+        read.sort(key=lambda one: one[0])
+        for number, key, stamp, texts in read:
+            self._put(self._slots.setdefault(key, Slot(key)), stamp, texts)
+            self.number = max(self.number, number)
+        return {name: msgspec.json.decode(text) for name, text in self._texts.items() if text != "null"}
+
+    # Writing
+
+    def __contains__(self, key: str) -> bool:
+        return self._texts.get(key, "null") != "null"
+
+    def take(self) -> Slot:
+        """A slot that may be written over; `written` or `returned` must follow."""
+        if self._free:
+            slot = self._free.pop()
+        else:
+            key = f"{SLOTS}{len(self._slots):04d}"
+            slot = self._slots[key] = Slot(key)
+        self._taken.add(slot.key)
+        return slot
+
+    def returned(self, slot: Slot) -> None:
+        self._taken.discard(slot.key)
+        self._free.append(slot)
+
+    def written(self, slot: Slot, stamp: int, texts: dict[str, str]) -> None:
+        self._taken.discard(slot.key)
+        self._put(slot, stamp, texts)
+
+    def next_number(self) -> int:
+        self.number += 1
+        return self.number
+
+    def _put(self, slot: Slot, stamp: int, texts: dict[str, str]) -> None:
+        before, slot.stamp, slot.keys = slot.keys, stamp, frozenset(texts)
+        for key, text in texts.items():
+            self._copies[key] = self._copies.get(key, 0) + 1
+            old = self._where.get(key)
+            if old is not None:
+                self._outdate(old, key)
+            self._where[key] = slot
+            self._texts[key] = text
+            slot.current.add(key)
+            slot.live += weight(key, text)
+        for key in before:
+            self._copies[key] -= 1
+        for key in (*before, *texts):
+            self._forget(key)
+        if not slot.current and slot.key not in self._taken and slot not in self._free:
+            self._free.append(slot)
+
+    def _outdate(self, slot: Slot, key: str) -> None:
+        slot.current.discard(key)
+        slot.live -= weight(key, self._texts[key])
+        if not slot.current and slot.key not in self._taken:
+            self._free.append(slot)
+
+    def _forget(self, key: str) -> None:
+        """Drops a deleted record once no slot holds an older version of it."""
+        slot = self._where.get(key)
+        if slot is None or self._texts[key] != "null" or self._copies[key] > 1:
+            return
+        self._outdate(slot, key)
+        del self._where[key], self._texts[key]
+        # It still stands in that slot as a null, which says the same as nothing.
+        slot.keys -= {key}
+        del self._copies[key]
+
+    # Tidying
+
+    def crowded(self) -> bool:
+        """More slots in use than what is current needs, with ample room for what is to come."""
+        used = len(self._slots) - len(self._free)
+        live = sum(slot.live for slot in self._slots.values())
+        return used > 24 + 2 * live // self.most
+
+    def emptiest(self, busy: set[str], room: int) -> dict[str, str]:
+        """Current records of the slot with the fewest bytes of them, if they fit into `room`."""
+        best: Slot | None = None
+        for slot in self._slots.values():
+            if (
+                slot.current
+                and slot.key not in self._taken
+                and slot.live <= room
+                and (best is None or slot.live < best.live)
+                and not slot.current & busy
+            ):
+                best = slot
+        return {} if best is None else {key: self._texts[key] for key in best.current}
--- a/src/elmthread/ledger/records.py
+++ b/src/elmthread/ledger/records.py
@@ -1,11 +1,12 @@
 """What the store holds: the keys and the form of each record.
 
 `j/ID` a job, `d/ID/CHUNK` its done tasks, `m/NAME` a machine's assignments, `r/NAME` a
-rental request, `t/types` the machine types. Text and numbers only.
+rental request, `t/types` the machine types. They stand packed in slots (`log.py`), all but
+the leader key. An earlier form of the store had one key for each record; `layout` says that
+none is to be looked for any more.
 """
 
 from datetime import UTC, datetime
-from typing import Any
 
 import msgspec
 
@@ -14,6 +15,9 @@
 
 LEADER = "leader"
 TYPES = "t/types"
+LAYOUT = "layout"
+# The most tasks in one record of done marks: each finished task writes its record anew.
+MOST_MARKS = 1024
 
 
 def job_key(job_id: str) -> str:
@@ -34,7 +38,7 @@
 
 def chunk_tasks(value_kb: float) -> int:
     """Tasks a chunk of done marks: one hexadecimal digit for four, half the value's limit."""
-    return max(8, int(value_kb * 1024 / 2) * 4 // 8 * 8)
+    return min(MOST_MARKS, max(8, int(value_kb * 1024 / 2) * 4 // 8 * 8))
 
 
 def most_holds(value_kb: float) -> int:
@@ -58,7 +62,6 @@
     build: str
     zone: str
     spot: bool
-    address: str = ""
     pool: bool = False
     # job id -> task, attempt, task, attempt, ...
     holds: dict[str, list[int]] = {}
@@ -72,10 +75,6 @@
     pool: bool = False
 
 
-def to_store(record: msgspec.Struct) -> Any:
-    return msgspec.to_builtins(record)
-
-
 def job_record(job: Job) -> JobRecord:
     if job.state is not JobState.DONE:
         # Tasks of a cancelled job may be on machines for a while: what they take, and whose
@@ -103,7 +102,7 @@
     holds: dict[str, list[int]] = {}
     for hold in machine.holds.values():
         holds.setdefault(hold.job.id, []).extend((hold.task, hold.attempt))
-    return MachineRecord(machine.build, machine.zone, machine.spot, machine.address, machine.pool, holds)
+    return MachineRecord(machine.build, machine.zone, machine.spot, machine.pool, holds)
 
 
 def submitted_at(record: JobRecord) -> datetime:
--- a/src/elmthread/ledger/writer.py
+++ b/src/elmthread/ledger/writer.py
@@ -1,8 +1,9 @@
-"""Group commit: what changed waits here, packed into transactions within the settings' rates.
+"""Group commit: what changed waits here, packed into few slots and written within the settings' rates.
 
-Every transaction guards on the leader key's stamp and on the stamp of each key it changes.
+Every transaction guards on the leader key's stamp and on the stamp of each slot it fills.
 The first keeps a leader of the past from writing. The second keeps a transaction that is
-applied late, after we had given it up, from putting an old value over a newer one.
+applied late, or twice, from putting old records over newer ones: a slot's stamp only grows.
+A transaction of which the outcome is not known is sent again as it is until the store says.
 """
 
 import asyncio
@@ -15,21 +16,25 @@
 
 import msgspec
 
-from elmthread.common.clock import Clock, seconds
+from elmthread.common.clock import ZERO, Clock, seconds
 from elmthread.ledger import messages
 from elmthread.ledger.client import Expired, Lost, StateClient, Unavailable, Unsure
+from elmthread.ledger.log import Slot, SlotRecord, Slots, pack, text_of, weight
 from elmthread.ledger.pacing import Bucket
 from elmthread.ledger.records import LEADER
 
 log = logging.getLogger(__name__)
 
-LANES = 3
+# Two transactions at a time: one answer that takes long does not hold up all others.
+LANES = 2
 MAX_TXN = 60 * 1024
 PAUSE = seconds(0.25)
+# Between two picks: what comes meanwhile goes together.
+GATHER = seconds(0.05)
 
 
 class Rank(IntEnum):
-    """What is written first, and (see RESERVE) how much of the rate it leaves to the others."""
+    """What is written first, and (see GATHERED) how long it may gather."""
 
     USER = 0
     ASSIGN = 1
@@ -37,16 +42,15 @@
     TIDY = 3
 
 
-RESERVE = {Rank.USER: 0.0, Rank.ASSIGN: 0.2, Rank.DONE: 0.35, Rank.TIDY: 0.7}
-# However little is left of the rate, what has waited this long goes with the next transaction.
-PATIENCE = {Rank.USER: seconds(0), Rank.ASSIGN: seconds(1), Rank.DONE: seconds(2), Rank.TIDY: seconds(20)}
+# What has waited for this long makes a transaction; whatever else waits goes with it.
+GATHERED = {Rank.USER: ZERO, Rank.ASSIGN: seconds(0.1), Rank.DONE: seconds(0.4), Rank.TIDY: seconds(5)}
 
 Make = Callable[[], Any]
 
 
 @dataclass(eq=False, slots=True)
 class Change:
-    """A key whose value is made when it is written; None deletes it."""
+    """A record whose value is made when it is written; None deletes it."""
 
     key: str
     rank: Rank
@@ -55,6 +59,16 @@
     after: list[Callable[[], None]] = field(default_factory=list)
 
 
+@dataclass(eq=False, slots=True)
+class Filled:
+    """A slot on its way to the store."""
+
+    slot: Slot
+    number: int
+    texts: dict[str, str] = field(default_factory=dict)
+    size: int = 0
+
+
 class Stopped(Exception):
     """This leader is no more; nothing that waited was made durable by us."""
 
@@ -64,7 +78,7 @@
         self,
         client: StateClient,
         token: int,
-        stamps: dict[str, int],
+        slots: Slots,
         changes: Bucket,
         most_ops: int,
         clock: Clock,
@@ -72,7 +86,7 @@
     ) -> None:
         self._client = client
         self._token = token
-        self._stamps = stamps
+        self._slots = slots
         self._changes = changes
         self._most_ops = most_ops
         self._clock = clock
@@ -82,7 +96,7 @@
         self._wake = asyncio.Event()
         self._futures: set[asyncio.Future[None]] = set()
         self._stopped = False
-        # When the store last answered a transaction; users are told at once while it does not.
+        # Since when the store has not taken a transaction; users are told at once while it does not.
         self.failing_since: timedelta | None = None
 
     def write(self, key: str, rank: Rank, make: Make, after: Callable[[], None] | None = None) -> None:
@@ -98,7 +112,7 @@
         self._wake.set()
 
     def delete(self, key: str) -> None:
-        if key in self._stamps or key in self._waiting or key in self._busy:
+        if key in self._slots or key in self._waiting or key in self._busy:
             self.write(key, Rank.TIDY, lambda: None)
 
     async def written(self, key: str, rank: Rank, make: Make, after: Callable[[], None]) -> None:
@@ -130,119 +144,136 @@
 
     async def _lane(self) -> None:
         while True:
-            batch, wait = self._pick()
-            if not batch:
-                self._wake.clear()
-                try:
-                    async with asyncio.timeout(None if wait is None else wait.total_seconds()):
-                        await self._wake.wait()
-                except TimeoutError:
-                    pass
+            await self._due()
+            filled, batch = self._fill()
+            if not filled:
                 continue
             try:
-                await self._commit(batch)
+                await self._commit(filled, batch)
             finally:
-                self._busy.difference_update(change.key for change in batch)
+                self._busy.difference_update(*(one.texts for one in filled))
                 self._wake.set()
 
-    def _pick(self) -> tuple[list[Change], timedelta | None]:
-        """The next batch that the rate allows, or how long to wait for one."""
-        now = self._clock()
+    async def _due(self) -> None:
+        """Waits until something has gathered for long enough and the rate allows to write it."""
+        while True:
+            now = self._clock()
+            due = [one.since + GATHERED[one.rank] for one in self._waiting.values() if one.key not in self._busy]
+            if due and min(due) <= now and self._changes.level() >= 1.0:
+                return
+            self._wake.clear()
+            wait = max(min(due) - now, self._changes.wait(), GATHER) if due else None
+            try:
+                async with asyncio.timeout(None if wait is None else wait.total_seconds()):
+                    await self._wake.wait()
+            except TimeoutError:
+                continue
+            if due:
+                await asyncio.sleep(GATHER.total_seconds())
+
+    def _fill(self) -> tuple[list[Filled], list[Change]]:
+        """Packs what waits, by rank, into as many slots as the rate and the limits allow."""
         ready = sorted(
             (change for change in self._waiting.values() if change.key not in self._busy),
             key=lambda change: (change.rank, change.since),
         )
+        most = min(self._most_ops, max(1, int(self._changes.level())), max(1, MAX_TXN // self._slots.most))
+        filled: list[Filled] = []
         batch: list[Change] = []
         for change in ready:
-            if len(batch) >= self._most_ops:
-                break
-            patient = now - change.since < PATIENCE[change.rank]
-            keep = RESERVE[change.rank] * self._changes.burst if patient else 0.0
-            if not self._changes.take(1, keep):
-                if batch:
+            value = change.make()
+            if value is None and change.key not in self._slots:
+                # Never written, or deleted already: nothing to change, and that is durable.
+                del self._waiting[change.key]
+                self._call(change)
+                continue
+            text = text_of(value)
+            size = weight(change.key, text)
+            if size > self._slots.most:
+                # Never told as durable: what depends on it stays undone, and all else goes on.
+                log.error("%s: %s bytes are more than a value may hold", change.key, size)
+                del self._waiting[change.key]
+                continue
+            if not filled or filled[-1].size + size > self._slots.most:
+                if len(filled) >= most:
                     break
-                return [], max(self._changes.wait(1, keep), seconds(0.01))
-            batch.append(change)
-        for change in batch:
+                filled.append(Filled(self._slots.take(), self._slots.next_number()))
+            filled[-1].texts[change.key] = text
+            filled[-1].size += size
             del self._waiting[change.key]
             self._busy.add(change.key)
-        return batch, None
-
-    async def _commit(self, batch: list[Change]) -> None:
+            batch.append(change)
+        if filled:
+            self._changes.take(len(filled), -self._changes.burst)
+            self._tidy(filled[-1])
+        return filled, batch
+
+    def _tidy(self, last: Filled) -> None:
+        """Moves what is current in nearly empty slots along, so that they can be written over."""
+        while self._slots.crowded():
+            moved = self._slots.emptiest(self._busy | self._waiting.keys(), self._slots.most - last.size)
+            if not moved:
+                return
+            last.texts |= moved
+            last.size += sum(weight(key, text) for key, text in moved.items())
+            self._busy.update(moved)
+
+    async def _commit(self, filled: list[Filled], batch: list[Change]) -> None:
         guards = [messages.guard(LEADER, self._token)]
         then = []
-        size = 0
-        taken: list[tuple[Change, Any]] = []
+        for one in filled:
+            guards.append(messages.guard(one.slot.key, one.slot.stamp))
+            then.append(
+                messages.put(one.slot.key, msgspec.to_builtins(SlotRecord(one.number, pack(one.texts))))
+            )
+        while not self._stopped:
+            try:
+                revision = await self._client.commit(guards, then)
+            except Unavailable as error:
+                log.info("not written: %s", error)
+                self._failed()
+                await asyncio.sleep(PAUSE.total_seconds())
+            except (Unsure, Expired) as error:
+                # It may have been carried out, or may still be: sent again as it is, it is
+                # carried out once, or the guards on the slots tell that it was.
+                log.info("outcome unknown: %s", error)
+                self._failed()
+                await asyncio.sleep(PAUSE.total_seconds())
+            except Lost as lost:
+                found = None if LEADER in lost.failed else await self._stamp_of(filled[0])
+                if found is None:
+                    log.info("leadership lost: %s", lost.failed)
+                    self._lost()
+                    return
+                self._done(filled, batch, found)
+                return
+            else:
+                self._done(filled, batch, revision)
+                return
+
+    def _done(self, filled: list[Filled], batch: list[Change], revision: int) -> None:
+        self.failing_since = None
+        for one in filled:
+            self._slots.written(one.slot, revision, one.texts)
         for change in batch:
-            value = change.make()
-            weight = len(msgspec.json.encode(value)) + 3 * len(change.key) + 100
-            if taken and size + weight > MAX_TXN:
-                self._put_back(change)
-                continue
-            size += weight
-            stamp = self._stamps.get(change.key, 0)
-            if value is None and not stamp:
+            self._call(change)
+
+    def _call(self, change: Change) -> None:
+        for call in change.after:
+            call()
+
+    async def _stamp_of(self, one: Filled) -> int | None:
+        """The stamp of a slot that an earlier sending of ours has filled; None if another did."""
+        while not self._stopped:
+            try:
+                item = await self._client.get(one.slot.key)
+            except (Unavailable, Unsure):
+                await asyncio.sleep(PAUSE.total_seconds())
                 continue
-            taken.append((change, value))
-            guards.append(messages.guard(change.key, stamp))
-            then.append(messages.delete(change.key) if value is None else messages.put(change.key, value))
-        if not then:
-            return
-        try:
-            revision = await self._client.commit(guards, then)
-        except Unavailable as error:
-            log.info("not written: %s", error)
-            self._failed()
-            self._put_back(*(change for change, _ in taken))
-            await asyncio.sleep(PAUSE.total_seconds())
-        except (Unsure, Expired) as error:
-            log.info("outcome unknown: %s", error)
-            self._failed()
-            await self._reread([change.key for change, _ in taken])
-            self._put_back(*(change for change, _ in taken))
-        except Lost as lost:
-            if LEADER in lost.failed:
-                log.info("leadership lost: %s", lost.failed)
-                self._lost()
-            else:
-                await self._reread(lost.failed)
-            self._put_back(*(change for change, _ in taken))
-        else:
-            self.failing_since = None
-            for change, value in taken:
-                if value is None:
-                    self._stamps.pop(change.key, None)
-                else:
-                    self._stamps[change.key] = revision
-            for change, _ in taken:
-                for call in change.after:
-                    call()
+            mine = item is not None and msgspec.convert(item.value, SlotRecord).number == one.number
+            return item.stamp if mine and item is not None else None
+        return None
 
     def _failed(self) -> None:
         if self.failing_since is None:
             self.failing_since = self._clock()
-
-    def _put_back(self, *changes: Change) -> None:
-        for change in changes:
-            newer = self._waiting.get(change.key)
-            if newer is None:
-                self._waiting[change.key] = change
-            else:
-                newer.after[:0] = change.after
-                newer.rank = min(newer.rank, change.rank)
-                newer.since = min(newer.since, change.since)
-
-    async def _reread(self, keys: list[str]) -> None:
-        """Learns the stamps anew after an unknown outcome; it may still be applied later."""
-        for key in keys:
-            while not self._stopped:
-                try:
-                    item = await self._client.get(key)
-                except (Unavailable, Unsure):
-                    await asyncio.sleep(PAUSE.total_seconds())
-                    continue
-                if item is None:
-                    self._stamps.pop(key, None)
-                else:
-                    self._stamps[key] = item.stamp
-                break
--- a/src/elmthread/placement/book.py
+++ b/src/elmthread/placement/book.py
@@ -46,12 +46,14 @@
         "pending",
         "rank",
         "retry_at",
+        "running",
         "since",
         "spec",
         "state",
         "stored",
         "submitted",
         "total",
+        "types",
         "urgent",
         "writing",
         "zones",
@@ -70,6 +72,7 @@
         self.submitted = submitted
         self.spec = spec
         self.total = spec.tasks
+        self.types = None if spec.types is None else frozenset(spec.types)
         self.since = since
         self.deadline = deadline
         self.urgent = urgent
@@ -85,6 +88,8 @@
         self.pending: deque[int] = deque(range(spec.tasks))
         self.held: dict[int, int] = {}
         self.live: dict[int, Hold] = {}
+        # Tasks seen running, for display.
+        self.running = 0
         self.zones: dict[str, int] = {}
         self.errors: set[str] = set()
         self.retry_at = ZERO
@@ -154,7 +159,10 @@
         self.started_at: timedelta | None = None
 
     def move(self, new: HoldState) -> None:
-        self.state = step(f"{self.job.id}/{self.task}", HOLD_STEPS, self.state, new)
+        if new is self.state:
+            return
+        self.job.running += (new is HoldState.RUNNING) - (self.state is HoldState.RUNNING)
+        self.state = step(self.job.id, HOLD_STEPS, self.state, new)
 
 
 class MachineState(Enum):
@@ -180,13 +188,13 @@
     """One rented machine: what it is, what it may hold, and what was last heard of it."""
 
     __slots__ = (
-        "address",
         "answered_at",
         "build",
         "cards",
         "cards_used",
         "cpus",
         "cpus_used",
+        "deaf_since",
         "empty_since",
         "fading",
         "failures",
@@ -194,6 +202,7 @@
         "holds",
         "images",
         "known_since",
+        "missed",
         "name",
         "newest",
         "pool",
@@ -203,11 +212,13 @@
         "ram_used",
         "recall_at",
         "reported_at",
+        "session_since",
         "silent_sessions",
         "spot",
         "state",
         "suspect",
         "to_reap",
+        "urgent_cpus",
         "was_listed",
         "zone",
     )
@@ -218,8 +229,9 @@
         self.zone = zone
         self.spot = spot
         self.state = state
-        self.address = ""
         self.cpus = self.cards = self.ram = 0.0
+        # Cores held by urgent work, for sizing.
+        self.urgent_cpus = 0.0
         self.cpus_used = self.cards_used = self.ram_used = 0.0
         self.fetch_rate = 1.0
         self.price = 0.0
@@ -233,6 +245,11 @@
         self.recall_at: timedelta | None = None
         # Overdue with its reports: it may hang or be dead, so it gets nothing new.
         self.quiet = False
+        # Since when our answers have not been seen to arrive: reports alone are no proof that
+        # commands get through, so it gets nothing new until they are.
+        self.deaf_since: timedelta | None = None
+        self.session_since = now
+        self.missed = 0
         self.images: dict[str, float] = {}
         self.pool = False
         # Not needed as things stand: gets work only where no other machine has room.
@@ -248,7 +265,13 @@
 
     @property
     def open(self) -> bool:
-        return self.state is MachineState.UP and self.recall_at is None and not self.suspect and not self.quiet
+        return (
+            self.state is MachineState.UP
+            and self.recall_at is None
+            and self.deaf_since is None
+            and not self.suspect
+            and not self.quiet
+        )
 
     @property
     def free(self) -> float:
@@ -277,6 +300,9 @@
         # More holds than this on one machine would overflow its record in the store.
         self.most_holds = most_holds
 
+    def add_machine(self, machine: Machine) -> None:
+        self.machines[machine.name] = machine
+
     def add_job(self, job: Job) -> None:
         self.jobs[job.id] = job
         if job.open:
@@ -291,6 +317,8 @@
         machine.holds[attempt] = hold
         spec = job.spec
         machine.cpus_used += spec.cpus
+        if job.urgent:
+            machine.urgent_cpus += spec.cpus
         machine.cards_used += spec.cards
         machine.ram_used += spec.ram_gb
         self.cpus_of[spec.team] = self.cpus_of.get(spec.team, 0.0) + spec.cpus
@@ -305,10 +333,14 @@
         machine, job, spec = hold.machine, hold.job, hold.job.spec
         del machine.holds[hold.attempt]
         machine.cpus_used -= spec.cpus
+        if job.urgent:
+            machine.urgent_cpus -= spec.cpus
+        if hold.state is HoldState.RUNNING:
+            job.running -= 1
         machine.cards_used -= spec.cards
         machine.ram_used -= spec.ram_gb
         if not machine.holds:
-            machine.cpus_used = machine.cards_used = machine.ram_used = 0.0
+            machine.cpus_used = machine.cards_used = machine.ram_used = machine.urgent_cpus = 0.0
             machine.empty_since = now
         self.cpus_of[spec.team] -= spec.cpus
         self.cards_of[spec.team] -= spec.cards
--- a/src/elmthread/placement/decide.py
+++ b/src/elmthread/placement/decide.py
@@ -1,5 +1,6 @@
 """Who runs where: pure functions over a view of what waits and what has room."""
 
+import heapq
 import math
 from collections.abc import Iterable
 from dataclasses import dataclass, field
@@ -91,48 +92,98 @@
     return 0.0 if want.image in slot.images else want.image_gb / slot.fetch_rate
 
 
-def preference(want: Want, slot: Slot, cheapest: float) -> tuple[bool, float, float]:
-    """Small is better: machines that are to empty come last; then the time to fetch the
-    image and the price; full machines first.
-
-    Price is weighed in seconds: a machine at twice the cheapest price per core counts like
+def _dearness(want: Want, price: float, cheapest: float) -> float:
+    """Price weighed in seconds: a machine at twice the cheapest price per core counts like
     ten seconds of waiting for an image, for urgent work like two.
     """
     weight = 2.0 if want.urgent else 10.0
-    dearer = (slot.price / cheapest - 1.0) if cheapest > 0 else 0.0
-    return (slot.fading, _fetch_time(want, slot) + weight * min(dearer, 5.0), slot.cpus)
+    return weight * min(price / cheapest - 1.0 if cheapest > 0 else 0.0, 5.0)
+
+
+def preference(want: Want, slot: Slot, cheapest: float) -> tuple[bool, float, float, str]:
+    """Small is better: machines that are to empty come last; then the time to fetch the
+    image and the price; full machines first.
+    """
+    return (slot.fading, _fetch_time(want, slot) + _dearness(want, slot.price, cheapest), slot.cpus, slot.name)
+
 
+class _Shelf:
+    """Machines alike but for their room, images and zone, the fullest first."""
 
-def place(wants: Iterable[Want], slots: list[Slot], rooms: dict[str, Room]) -> list[tuple[Want, Slot, int]]:
-    """Gives tasks to machines in the order of `wants`; slots, rooms and wants are used up."""
+    def __init__(self, slots: list[Slot]) -> None:
+        self.slots = slots
+        self.sorted = False
+
+    def in_order(self) -> list[Slot]:
+        if not self.sorted:
+            self.slots = [slot for slot in self.slots if slot.cpus > TINY]
+            self.slots.sort(key=_fullest)
+            self.sorted = True
+        return self.slots
+
+
+def _fullest(slot: Slot) -> tuple[float, str]:
+    return (slot.cpus, slot.name)
+
+
+def place(wants: Iterable[Want], slots: Iterable[Slot], rooms: dict[str, Room]) -> list[tuple[Want, Slot, int]]:
+    """Gives tasks to machines in the order of `wants`; slots, rooms and wants are used up.
+
+    Machines that differ only in room, images and zone stand on one shelf, so that a job is
+    weighed against a few shelves and not against every machine. `tests/plain.py` looks at
+    every machine; the tests compare the two.
+    """
     placed: list[tuple[Want, Slot, int]] = []
-    cheapest = min((slot.price for slot in slots), default=0.0)
-    open_slots = [slot for slot in slots if slot.cpus > TINY]
+    by_kind: dict[tuple[bool, str, bool, float, float], list[Slot]] = {}
+    cheapest = math.inf
+    for slot in slots:
+        cheapest = min(cheapest, slot.price)
+        if slot.cpus > TINY:
+            by_kind.setdefault((slot.fading, slot.build, slot.spot, slot.price, slot.fetch_rate), []).append(slot)
+    shelves = [_Shelf(some) for some in by_kind.values()]
     for want in wants:
         room = rooms.setdefault(want.team, Room())
         if want.count <= 0:
             continue
         if room.cpus + TINY < want.cpus:
             if want.urgent:
-                _keep_for(room)
+                keep_for(room)
             continue
-        choice = [slot for slot in open_slots if fits(want, slot, room)]
-        choice.sort(key=lambda slot: preference(want, slot, cheapest))
-        for slot in choice:
-            count = fits(want, slot, room)
-            if count <= 0:
+        # Each shelf counts twice: its machines that have the image, and those that fetch it.
+        ranks = []
+        for number, shelf in enumerate(shelves):
+            if not shelf.in_order():
+                continue
+            one = shelf.slots[0]
+            if (want.types is not None and one.build not in want.types) or (one.spot and not want.spot):
                 continue
-            take(want, slot, room, count)
-            placed.append((want, slot, count))
-            if want.count <= 0:
+            if shelf.slots[-1].cpus + TINY < want.cpus:
+                continue
+            for has_image in (True, False):
+                fetch = 0.0 if has_image else want.image_gb / one.fetch_rate
+                ranks.append((one.fading, fetch + _dearness(want, one.price, cheapest), number, has_image))
+        ranks.sort()
+        for _, _, number, has_image in ranks:
+            shelf = shelves[number]
+            for slot in shelf.slots:
+                if (want.image in slot.images) is not has_image:
+                    continue
+                count = fits(want, slot, room)
+                if count <= 0:
+                    continue
+                take(want, slot, room, count)
+                shelf.sorted = False
+                placed.append((want, slot, count))
+                if want.count <= 0 or room.cpus + TINY < want.cpus:
+                    break
+            if want.count <= 0 or room.cpus + TINY < want.cpus:
                 break
         if want.urgent and want.count > 0 and room.cpus + TINY < want.cpus:
-            _keep_for(room)
-        open_slots = [slot for slot in open_slots if slot.cpus > TINY]
+            keep_for(room)
     return placed
 
 
-def _keep_for(room: Room) -> None:
+def keep_for(room: Room) -> None:
     """What the team has left gathers for its urgent task, or smaller ones would take it each time."""
     room.cpus = 0.0
 
@@ -161,59 +212,69 @@
     loss: timedelta = ZERO
 
 
-def preempt(want: Want, slots: dict[str, Slot], victims: list[Victim], room: Room) -> list[Victim]:
+def preempt(want: Want, slots: dict[str, Slot], victims: dict[str, list[Victim]], room: Room) -> list[Victim]:
     """The tasks to stop so that `want` gets room: those that lose least for the room they give.
 
-    `slots` counts room that is already being freed. Each machine is filled as far as its
-    victims allow; machines where the loss for each task gained is least come first.
+    `slots` counts room that is already being freed; `victims` are by machine, and those that
+    are chosen are taken out. Machines where the loss for one task's room is least come first.
     """
     chosen: list[Victim] = []
-    by_machine: dict[str, list[Victim]] = {}
-    for victim in victims:
-        by_machine.setdefault(victim.machine, []).append(victim)
-    # A team at its limit makes room for its urgent work itself, wherever its tasks run.
-    own = sorted((victim for victim in victims if victim.team == want.team), key=lambda victim: victim.loss)
-    while own and room.cpus + TINY < want.count * want.cpus:
-        victim = own.pop(0)
-        by_machine[victim.machine].remove(victim)
-        room.cpus += victim.cpus
-        room.cards += victim.cards
+
+    def stop(victim: Victim) -> None:
+        victims[victim.machine].remove(victim)
         slot = slots.get(victim.machine)
         if slot is not None:
             slot.cpus += victim.cpus
             slot.cards += victim.cards
             slot.ram += victim.ram
         chosen.append(victim)
-    if chosen:
-        place([want], list(slots.values()), {want.team: room})
-    while want.count > 0 and room.cpus + TINY >= want.cpus:
-        best: tuple[float, list[Victim], Slot] | None = None
-        for name, held in by_machine.items():
-            slot = slots.get(name)
-            if slot is None or not allowed(want, slot.build, slot.zone, slot.spot):
-                continue
-            if want.zone_most < math.inf and want.zones.get(slot.zone, 0) >= want.zone_most:
-                continue
-            some = _enough(want, slot, held)
-            if some is None:
-                continue
+
+    # A team at its limit makes room for its urgent work itself, wherever its tasks run.
+    if room.cpus + TINY < want.count * want.cpus:
+        own = [victim for held in victims.values() for victim in held if victim.team == want.team]
+        own.sort(key=lambda victim: victim.loss)
+        for victim in own:
+            if room.cpus + TINY >= want.count * want.cpus:
+                break
+            room.cpus += victim.cpus
+            room.cards += victim.cards
+            stop(victim)
+        if chosen:
+            place([want], slots.values(), {want.team: room})
+    if want.count <= 0 or room.cpus + TINY < want.cpus:
+        return chosen
+    # One look at each machine, then the best again and again: only its own offer changes.
+    offers: list[tuple[float, int, str]] = []
+
+    def offer(order: int, name: str) -> None:
+        slot = slots.get(name)
+        if slot is None or not allowed(want, slot.build, slot.zone, slot.spot):
+            return
+        some = enough(want, slot, victims[name])
+        if some is not None:
             loss = sum(victim.loss.total_seconds() * victim.cpus for victim in some)
-            if best is None or loss < best[0]:
-                best = (loss, some, slot)
-        if best is None:
-            break
-        _, some, slot = best
+            heapq.heappush(offers, (loss, order, name))
+
+    for order, name in enumerate(victims):
+        offer(order, name)
+    while offers and want.count > 0 and room.cpus + TINY >= want.cpus:
+        _, order, name = heapq.heappop(offers)
+        slot = slots[name]
+        if not allowed(want, slot.build, slot.zone, slot.spot):
+            continue
+        if want.zones.get(slot.zone, 0) >= want.zone_most:
+            continue
+        some = enough(want, slot, victims[name])
+        if some is None:
+            continue
         for victim in some:
-            by_machine[slot.name].remove(victim)
-            slot.cpus += victim.cpus
-            slot.cards += victim.cards
-            slot.ram += victim.ram
-        chosen += some
+            stop(victim)
         take(want, slot, room, 1)
+        offer(order, name)
     return chosen
 
 
-def _enough(want: Want, slot: Slot, held: list[Victim]) -> list[Victim] | None:
+def enough(want: Want, slot: Slot, held: list[Victim]) -> list[Victim] | None:
     """The cheapest victims on one machine whose room, with what is free, takes one task."""
     cpus, cards, ram = slot.cpus, slot.cards, slot.ram
     some: list[Victim] = []
--- a/src/elmthread/placement/service.py
+++ b/src/elmthread/placement/service.py
@@ -3,6 +3,7 @@
 import logging
 import math
 from collections.abc import Callable
+from dataclasses import replace
 from datetime import timedelta
 
 from elmthread.common.clock import ZERO, Clock, seconds
@@ -16,6 +17,15 @@
 # Bounds the work of one round: tasks placed, and jobs looked at for preemption.
 MOST_PLACED = 400
 MOST_PREEMPTING = 8
+# Looking for tasks to requeue walks over all that runs, so it is not done every round.
+PREEMPT_EVERY = seconds(0.5)
+# The order of jobs is judged anew this often, and when a job comes or goes.
+ORDER_EVERY = seconds(1)
+# A job that has waited for this long, and of which nothing has begun, starts one task before
+# all others. One that is put off for others' sake has its tasks in turn again, within a part
+# of the cores that all such jobs share.
+BEGIN = seconds(120)
+PART = 0.2
 
 
 class Placement:
@@ -34,18 +44,30 @@
         self._next_attempt = next_attempt
         self._assign = assign
         self._expected = expected
+        self._guaranteed: set[str] = set()
+        self._last: set[str] = set()
+        self._ordered_at: timedelta | None = None
+        self._preempted_at = ZERO
+        # Tasks were left without room: a worker that has some may wait a moment for them.
+        self.waiting = False
+
+    def stale(self) -> None:
+        """Jobs came or went: their order is judged anew in the next round."""
+        self._ordered_at = None
 
     def round(self) -> None:
         now = self._clock()
         self._stop_for_recall(now)
         wants = self.wants(now)
         if not wants:
+            self.waiting = False
             return
         rooms = self.rooms()
-        slots = {machine.name: _slot(machine, self._book) for machine in self._book.up() if machine.open}
+        machines = [machine for machine in self._book.up() if machine.open and machine.cpus > machine.cpus_used]
+        slots = {machine.name: _slot(machine, self._book) for machine in machines}
         touched: dict[str, Machine] = {}
         left = MOST_PLACED
-        for want, slot, count in place(wants, list(slots.values()), rooms):
+        for want, slot, count in place(wants, slots.values(), rooms):
             machine = self._book.machines[slot.name]
             job = self._book.jobs[want.job]
             for _ in range(min(count, left)):
@@ -57,8 +79,12 @@
                 break
         for machine in touched.values():
             self._assign(machine)
-        if left > 0:
-            self._make_room([want for want in wants if want.urgent and want.count > 0], slots, rooms, now)
+        self.waiting = left <= 0 or any(want.count > 0 for want in wants)
+        if left > 0 and now - self._preempted_at >= PREEMPT_EVERY:
+            urgent = [want for want in wants if want.urgent and want.count > 0]
+            if urgent:
+                self._preempted_at = now
+                self._make_room(urgent, rooms, now)
 
     def rooms(self) -> dict[str, Room]:
         return {
@@ -71,17 +97,54 @@
 
     def wants(self, now: timedelta) -> list[Want]:
         """What waits, in the order in which it gets room."""
-        guaranteed = self._guaranteed()
-        last = self._last(now)
-        wants = [
-            self._want(job, job.id in guaranteed, job.id in last, now)
-            for job in self._book.open_jobs.values()
-            if job.pending and job.stored is JobState.OPEN and job.retry_at <= now
-        ]
+        if self._ordered_at is None or now - self._ordered_at >= ORDER_EVERY:
+            self._ordered_at = now
+            self._guaranteed = self._fit_guarantees()
+            self._last = self._put_off(now)
+        wants: list[Want] = []
+        put_off: list[tuple[timedelta, Want]] = []
+        for job in self._book.open_jobs.values():
+            count = len(job.pending)
+            if not count or job.stored is not JobState.OPEN or job.retry_at > now:
+                continue
+            due = (job.since + job.deadline - now).total_seconds()
+            first = _unbegun(job, now)
+            # Urgent work by rank and deadline; then work within a guarantee; then by deadline,
+            # jobs that would only make others late behind them.
+            order: tuple[float, float, float]
+            if job.urgent:
+                order = (0.0, job.rank, due)
+            elif job.id in self._guaranteed:
+                order = (1.0, 0.0, due)
+            elif job.id in self._last:
+                order = (1.0, 2.0, due)
+            else:
+                order = (1.0, 1.0, due)
+            want = self._want(job, order, count)
+            wants.append(want)
+            if first and not job.live:
+                # Nobody is left out: whatever the load, something of every job begins.
+                wants.append(_split(want, 1, (-1.0, job.rank, due)))
+            if order[1] == 2.0 and not job.urgent and now - job.since > BEGIN:
+                put_off.append((job.since, want))
+        if put_off:
+            wants += self._part(put_off)
         wants.sort(key=lambda want: want.order)
         return wants
 
-    def _guaranteed(self) -> set[str]:
+    def _part(self, put_off: list[tuple[timedelta, Want]]) -> list[Want]:
+        """Tasks of jobs put off for long that go in turn with the others all the same."""
+        turns = []
+        cores = PART * sum(machine.cpus for machine in self._book.up() if machine.open)
+        for _, want in sorted(put_off, key=lambda one: one[0]):
+            cores -= len(self._book.jobs[want.job].live) * want.cpus
+            count = min(want.count, int(cores / want.cpus))
+            if count > 0:
+                cores -= count * want.cpus
+                turns.append(_split(want, count, (1.0, 1.0, want.order[2])))
+        return turns
+
+    def _fit_guarantees(self) -> set[str]:
         """Jobs that fit their team's guarantee together with the team's earlier unfinished ones."""
         used: dict[str, float] = {}
         inside: set[str] = set()
@@ -95,7 +158,7 @@
                 inside.add(job.id)
         return inside
 
-    def _last(self, now: timedelta) -> set[str]:
+    def _put_off(self, now: timedelta) -> set[str]:
         """Deferrable jobs that wait behind the others, so that the most end in time.
 
         Where the work does not fit, which jobs are late is a matter of order alone. A team's
@@ -126,40 +189,34 @@
             last |= forsaken(rest, cores, sum(urgent.values()))
         return last
 
-    def _want(self, job: Job, guaranteed: bool, last: bool, now: timedelta) -> Want:
+    def _want(self, job: Job, order: tuple[float, ...], count: int) -> Want:
         spec = job.spec
-        due = (job.since + job.deadline - now).total_seconds()
-        # Urgent work by rank and deadline; then work within a guarantee; then by deadline,
-        # jobs that would only make others late behind them.
-        order = (0.0, job.rank, due) if job.urgent else (1.0, 0.0 if guaranteed else 2.0 if last else 1.0, due)
         return Want(
             job=job.id,
             team=spec.team,
             order=order,
-            count=len(job.pending),
+            count=count,
             cpus=spec.cpus,
             cards=spec.cards,
             ram=spec.ram_gb,
             image=spec.image,
             image_gb=spec.image_gb,
-            types=None if spec.types is None else frozenset(spec.types),
+            types=job.types,
             zone=spec.zone,
             spot=spec.spot,
             one_zone=spec.one_zone,
-            zones=dict(job.zones),
+            zones=dict(job.zones) if spec.one_zone or spec.spread else {},
             zone_most=math.ceil(job.total / 2) if spec.spread else math.inf,
             urgent=job.urgent,
         )
 
-    def _make_room(self, wants: list[Want], slots: dict[str, Slot], rooms: dict[str, Room], now: timedelta) -> None:
+    def _make_room(self, wants: list[Want], rooms: dict[str, Room], now: timedelta) -> None:
         """Urgent work that lacks room requeues deferrable work."""
-        if not wants:
-            return
-        victims: list[Victim] = []
-        for machine in self._book.up():
-            slot = slots.get(machine.name)
-            if slot is None:
-                continue
+        slots = {machine.name: _slot(machine, self._book) for machine in self._book.up() if machine.open}
+        victims: dict[str, list[Victim]] = {}
+        for name, slot in slots.items():
+            machine = self._book.machines[name]
+            held = victims[name] = []
             for hold in machine.holds.values():
                 spec = hold.job.spec
                 if hold.stop is not None:
@@ -169,8 +226,12 @@
                     slot.ram += spec.ram_gb
                     rooms[spec.team].cpus += spec.cpus
                     rooms[spec.team].cards += spec.cards
-                elif not hold.job.urgent and hold.state is not HoldState.SAVING:
-                    victims.append(
+                elif (
+                    not hold.job.urgent
+                    and hold.state is not HoldState.SAVING
+                    and not (len(hold.job.live) == 1 and _unbegun(hold.job, now))
+                ):
+                    held.append(
                         Victim(
                             hold.attempt,
                             machine.name,
@@ -181,15 +242,13 @@
                             self._loss(hold, now),
                         )
                     )
-        place(wants, list(slots.values()), rooms)
+        place(wants, slots.values(), rooms)
         for want in wants[:MOST_PREEMPTING]:
-            if want.count <= 0 or not victims:
+            if want.count <= 0:
                 continue
-            chosen = preempt(want, slots, victims, rooms[want.team])
-            for victim in chosen:
-                victims.remove(victim)
+            for victim in preempt(want, slots, victims, rooms[want.team]):
                 hold = self._book.machines[victim.machine].holds[victim.attempt]
-                log.info("%s/%s gives way to %s", hold.job.id, hold.task, want.job)
+                log.debug("%s/%s gives way to %s", hold.job.id, hold.task, want.job)
                 hold.stop = Stop.SAVE
 
     def _loss(self, hold: Hold, now: timedelta) -> timedelta:
@@ -215,6 +274,17 @@
         return self._expected(hold.job) - (now - hold.started_at) < left
 
 
+def _unbegun(job: Job, now: timedelta) -> bool:
+    """A job that has waited for long and of which no task is done: its first one is not put off."""
+    return not job.count_done and now - job.since > BEGIN
+
+
+def _split(want: Want, count: int, order: tuple[float, ...]) -> Want:
+    """Moves `count` of the tasks to another place in the order; the zones stay shared."""
+    want.count -= count
+    return replace(want, order=order, count=count)
+
+
 def _slot(machine: Machine, book: Book) -> Slot:
     return Slot(
         name=machine.name,
--- a/src/elmthread/sizing/decide.py
+++ b/src/elmthread/sizing/decide.py
@@ -9,7 +9,9 @@
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from enum import Enum, auto
-from itertools import cycle
+
+# Bounds the judging that cheaper machines take.
+MOST_TRIALS = 60
 
 # All times here are seconds from now: the view is made, judged and thrown away in one step.
 
@@ -63,10 +65,18 @@
     most: int = 50
 
 
+def merged(supplies: Sequence[Supply]) -> list[Supply]:
+    """Those that start together as one, the soonest first: hundreds of machines make a few."""
+    cores: dict[float, float] = {}
+    for supply in supplies:
+        cores[supply.start] = cores.get(supply.start, 0.0) + supply.cores
+    return [Supply(start, cores[start]) for start in sorted(cores)]
+
+
 def finish(work: float, supplies: Sequence[Supply]) -> float:
-    """When `work` core-seconds are done by cores that come one after the other."""
+    """When `work` core-seconds are done by cores that come one after the other (`merged`)."""
     at, cores = 0.0, 0.0
-    for supply in sorted(supplies, key=lambda supply: supply.start):
+    for supply in supplies:
         if supply.start > at:
             if cores > 0 and work <= cores * (supply.start - at):
                 return at + work / cores
@@ -81,13 +91,15 @@
 def ends(groups: Sequence[Group], supplies: Sequence[Supply], ahead: float) -> list[float]:
     """When each group (by deadline) ends: the wait for what is ahead of it, then its own work."""
     result = []
+    supplies = merged(supplies)
+    wait = finish(ahead, supplies)
     for group in groups:
-        wait = finish(ahead, supplies)
         work_end = finish(ahead + group.work, supplies)
         # A group can't be faster than one task, nor use more cores than its tasks may.
         own = max(group.longest, group.work / group.usable if group.usable > 0 else math.inf)
         result.append(max(work_end, wait + own))
         ahead += group.work
+        wait = work_end
     return result
 
 
@@ -124,6 +136,7 @@
     offers = [offer for offer in offers if offer.cores > 0 and offer.most > 0]
     if not offers or not groups:
         return []
+    supplies = merged(supplies)
     skip = unsavable(groups, min(offer.boot for offer in offers))
     if not late(groups, supplies, ahead, skip):
         return []
@@ -132,44 +145,78 @@
         more = [Supply(offer.boot, offer.cores) for offer in chosen]
         return not late(groups, [*supplies, *more], ahead, skip)
 
-    chosen: list[Offer] = []
-    # The largest machines first: no other choice of as many machines has more cores. Those
-    # that boot sooner come first among equals, as do the cheaper; zones take turns, since
-    # what a zone has left is not known before it is asked.
+    line = _line(offers, usable, most)
+    if not line or not saves(line):
+        return line
+    # More machines never make a group late, so the shortest part of the line that saves all
+    # is found by halving.
+    low, high = 0, len(line)
+    while high - low > 1:
+        middle = (low + high) // 2
+        low, high = (low, middle) if saves(line[:middle]) else (middle, high)
+    return _cheapen(line[:high], offers, saves)
+
+
+def _line(offers: Sequence[Offer], room: float, most: int) -> list[Offer]:
+    """Machines for up to `room` cores, the largest first: as many others have no more cores.
+
+    Those that boot sooner come first among equals, as do the cheaper; zones take turns, since
+    what a zone has left is not known before it is asked.
+    """
     ranks: dict[tuple[float, float, float], list[Offer]] = {}
     for offer in offers:
         ranks.setdefault((-offer.cores, offer.boot, offer.price), []).append(offer)
-    room = usable
+    line: list[Offer] = []
     for rank in sorted(ranks):
-        left = {id(offer): offer.most for offer in ranks[rank]}
-        for offer in cycle(ranks[rank]):
-            if not any(left.values()) or len(chosen) >= most or room <= 0 or saves(chosen):
-                break
-            if left[id(offer)]:
-                left[id(offer)] -= 1
-                chosen.append(offer)
-                room -= offer.cores
-    return _cheapen(chosen, offers, saves)
+        for turn in range(max(offer.most for offer in ranks[rank])):
+            for offer in ranks[rank]:
+                if turn < offer.most and len(line) < most and room > 0:
+                    line.append(offer)
+                    room -= offer.cores
+    return line
+
+
+def refill(offers: Sequence[Offer], lacking: float, most: int) -> list[Offer]:
+    """The fewest machines with `lacking` cores; the last no larger, or dearer, than it must be."""
+    chosen = _line(offers, lacking, most)
+    if not chosen:
+        return []
+    rest = lacking - sum(offer.cores for offer in chosen[:-1])
+    enough = [offer for offer in offers if offer.cores >= rest and offer.price <= chosen[-1].price]
+    return [*chosen[:-1], min(enough, key=lambda offer: (offer.price, offer.boot), default=chosen[-1])]
 
 
 def _cheapen(chosen: list[Offer], offers: Sequence[Offer], saves: Callable[[Sequence[Offer]], bool]) -> list[Offer]:
-    """Swaps each machine for a cheaper one as long as no group turns late by it."""
-    if not saves(chosen):
-        return chosen
-    for index in range(len(chosen)):
-        for offer in sorted(offers, key=lambda offer: offer.price):
-            if offer.price >= chosen[index].price:
-                break
-            used = sum(1 for other in chosen if other is offer)
-            if used >= offer.most:
-                continue
-            trial = [*chosen[:index], offer, *chosen[index + 1 :]]
-            if saves(trial):
-                chosen = trial
+    """Swaps machines for cheaper ones, as many at once as leave no group late by it."""
+    by_price = sorted(offers, key=lambda offer: offer.price)
+    trials = MOST_TRIALS
+    for dear in sorted(set(chosen), key=lambda offer: -offer.price):
+        for cheap in by_price:
+            if cheap.price >= dear.price:
                 break
+            low, high = 0, min(chosen.count(dear), cheap.most - chosen.count(cheap)) + 1
+            while high - low > 1 and trials > 0:
+                trials -= 1
+                middle = (low + high) // 2
+                if saves(_swapped(chosen, dear, cheap, middle)):
+                    low = middle
+                else:
+                    high = middle
+            chosen = _swapped(chosen, dear, cheap, low)
     return chosen
 
 
+def _swapped(chosen: list[Offer], dear: Offer, cheap: Offer, count: int) -> list[Offer]:
+    kept = []
+    for offer in chosen:
+        if offer == dear and count > 0:
+            count -= 1
+            kept.append(cheap)
+        else:
+            kept.append(offer)
+    return kept
+
+
 @dataclass(slots=True, frozen=True)
 class Line:
     """A job in its team's line: core-seconds left, the soonest it can end, and its deadline."""
--- a/src/elmthread/sizing/service.py
+++ b/src/elmthread/sizing/service.py
@@ -2,7 +2,7 @@
 
 import logging
 import math
-from collections import deque
+from collections import Counter, deque
 from collections.abc import Callable
 from datetime import timedelta
 from typing import Any
@@ -13,7 +13,7 @@
 from elmthread.placement.decide import Room, Want, allowed
 from elmthread.placement.service import Placement
 from elmthread.settings.operators import Operators
-from elmthread.sizing.decide import Band, Group, Offer, Supply, band, fewest
+from elmthread.sizing.decide import Band, Group, Offer, Supply, band, fewest, refill
 
 log = logging.getLogger(__name__)
 
@@ -34,6 +34,8 @@
 # Urgent demand is remembered for this long to track theta.
 MEMORY = seconds(300)
 IDLE = seconds(10)
+# Machines rented in one round; a request takes up to 50 of a kind.
+MOST_AT_ONCE = 500
 
 
 class Sizing:
@@ -69,31 +71,41 @@
     # Deferrable pressure
 
     def _for_groups(self, wants: list[Want], rooms: dict[str, Room], now: timedelta) -> None:
-        waiting = [want for want in wants if not want.urgent or not self._places(want)]
         self._return_pool(wants, now)
         # Cores count only for work that may use them: jobs are judged together with those
         # that allow the same machines. Otherwise cores of the wrong kind, or in pieces too
         # small for a task, would make a group look on time that can't start at all.
         kinds: dict[tuple[Any, ...], list[Want]] = {}
-        for want in waiting:
+        for want in wants:
             kinds.setdefault((want.types, want.zone, want.spot, want.cpus, want.cards), []).append(want)
         alike: dict[tuple[Any, ...], list[Want]] = {}
         for group in kinds.values():
-            alike.setdefault(self._places(group[0]), []).extend(group)
+            places = self._places(group[0])
+            # Urgent work is the band's, unless nothing there is could take it at all.
+            waiting = [want for want in group if not want.urgent or not places]
+            if waiting:
+                alike.setdefault(places, []).extend(waiting)
         for places, together in alike.items():
             self._rent_for(together, set(places), rooms, now)
 
     def _places(self, want: Want) -> tuple[str, ...]:
         """The machines, up or coming, that could take the tasks at all."""
-        return tuple(
-            machine.name
-            for machine in self._book.machines.values()
-            if machine.serves
-            and allowed(want, machine.build, machine.zone, machine.spot)
-            and want.cpus <= machine.cpus
-            and want.cards <= machine.cards
-            and want.ram <= machine.ram
-        )
+        fit: dict[tuple[str, str, bool], bool] = {}
+        places = []
+        for machine in self._book.machines.values():
+            if not machine.serves:
+                continue
+            kind = (machine.build, machine.zone, machine.spot)
+            if kind not in fit:
+                fit[kind] = (
+                    allowed(want, *kind)
+                    and want.cpus <= machine.cpus
+                    and want.cards <= machine.cards
+                    and want.ram <= machine.ram
+                )
+            if fit[kind]:
+                places.append(machine.name)
+        return tuple(places)
 
     def _rent_for(self, waiting: list[Want], places: set[str], rooms: dict[str, Room], now: timedelta) -> None:
         offers = self._offers(waiting)
@@ -103,12 +115,11 @@
         supplies = self._supplies(places, waiting[0], now)
         busy, ahead = self._running(places, now)
         usable -= sum(supply.cores for supply in supplies) - busy
-        counts: dict[Kind, int] = {}
-        for offer in fewest(groups, supplies, ahead, offers, usable):
-            kind = Kind(offer.build, offer.zone, offer.spot)
-            counts[kind] = counts.get(kind, 0) + 1
-        for kind, count in counts.items():
-            self._fleet.order(kind, count, pool=True)
+        self._order(fewest(groups, supplies, ahead, offers, usable, MOST_AT_ONCE), pool=True)
+
+    def _order(self, chosen: list[Offer], pool: bool) -> None:
+        for kind, count in Counter(Kind(offer.build, offer.zone, offer.spot) for offer in chosen).items():
+            self._fleet.order(kind, count, pool)
 
     def _groups(
         self, waiting: list[Want], rooms: dict[str, Room], now: timedelta, boot: float
@@ -143,13 +154,13 @@
             if machine.name not in places:
                 continue
             if machine.state is MachineState.UP:
-                urgent = sum(hold.job.spec.cpus for hold in machine.holds.values() if hold.job.urgent)
-                supplies.append(Supply(0.0, machine.cpus - urgent))
+                supplies.append(Supply(0.0, machine.cpus - machine.urgent_cpus))
                 continue
             kind = self._fleet.types[machine.build]
             age = (now - machine.known_since).total_seconds()
             if age < kind.boot_s * 2:
-                supplies.append(Supply(max(1.0, kind.boot_s * BOOT - age), machine.cpus))
+                # In whole seconds: what comes at about the same time is judged as one.
+                supplies.append(Supply(float(max(1, round(kind.boot_s * BOOT - age))), machine.cpus))
         for order in self._fleet.orders.values():
             coming = self._fleet.types.get(order.kind.build)
             if coming is not None and allowed(want, order.kind.build, order.kind.zone, order.kind.spot):
@@ -241,12 +252,7 @@
 
     def _urgent(self, wants: list[Want], rooms: dict[str, Room]) -> float:
         """Urgent cores: booked, and waiting as far as teams' limits let them run."""
-        booked = sum(
-            hold.job.spec.cpus
-            for machine in self._book.machines.values()
-            for hold in machine.holds.values()
-            if hold.job.urgent
-        )
+        booked = sum(machine.urgent_cpus for machine in self._book.machines.values())
         return booked + _usable([want for want in wants if want.urgent], rooms)
 
     def _for_band(self, wants: list[Want], urgent: float, now: timedelta) -> None:
@@ -263,9 +269,9 @@
                 cores += kind.cpus * order.count
         match band(urgent, cores, self.theta, self._operators.delta):
             case Band.RENT:
-                self._rent_one(wants, urgent / self.theta - cores)
+                self._rent_more(wants, urgent / self.theta - cores)
             case Band.RETURN:
-                self._return_one(outside, urgent, cores, now)
+                self._return_some(outside, urgent, cores, now)
             case Band.STAY:
                 pass
 
@@ -279,30 +285,19 @@
             mean = sum(demand for _, demand in self._demand) / len(self._demand)
             self.theta = min(max(mean / peak, self._operators.theta), 0.9)
 
-    def _rent_one(self, wants: list[Want], lacking: float) -> None:
-        """One machine: the cheapest a core of those large enough, else the largest."""
+    def _rent_more(self, wants: list[Want], lacking: float) -> None:
+        """Brings the share back into the band with the fewest machines."""
         offers = self._offers([want for want in wants if want.urgent] or wants)
-        if not offers:
-            return
-        offer = min(
-            offers,
-            key=lambda o: (max(0.0, lacking - o.cores), o.price * max(o.cores, lacking) / o.cores, o.boot),
-        )
-        self._fleet.order(Kind(offer.build, offer.zone, offer.spot), 1, pool=False)
+        self._order(refill(offers, lacking, MOST_AT_ONCE), pool=False)
 
-    def _return_one(self, outside: list[Machine], urgent: float, cores: float, now: timedelta) -> None:
+    def _return_some(self, outside: list[Machine], urgent: float, cores: float, now: timedelta) -> None:
+        """Empty machines go back, the dearest first, as far as the share stays in the band."""
         most = self.theta + self._operators.delta
-        empty = [
-            m
-            for m in outside
-            if m.state is MachineState.UP
-            and not m.holds
-            and now - m.empty_since > IDLE
-            and urgent <= most * (cores - m.cpus)
-        ]
-        if empty:
-            machine = max(empty, key=lambda m: m.core_price)
-            self._fleet.give_up(machine, "not needed")
+        empty = [m for m in outside if m.state is MachineState.UP and not m.holds and now - m.empty_since > IDLE]
+        for machine in sorted(empty, key=lambda m: -m.core_price):
+            if urgent <= most * (cores - machine.cpus):
+                cores -= machine.cpus
+                self._fleet.give_up(machine, "not needed")
 
 
 def _usable(wants: list[Want], rooms: dict[str, Room]) -> float:
--- a/tests/world/services.py
+++ b/tests/world/services.py
@@ -18,6 +18,8 @@
     cut: bool = False  # requests hang
     refused: bool = False  # 503 to this node alone
     dead: bool = False  # the node's process is no more
+    testament: bool = False  # what it had sent when it died arrives all the same
+    twice: float = 0.0  # share of changes that are carried out a second time, later
     lost: float = 0.0  # share of answers lost after the request was carried out
     late: float = 0.0  # share of requests carried out only after the caller gave up
 
@@ -35,6 +37,9 @@
         trouble = self.trouble
         await asyncio.sleep(self._service.delay())
         if trouble.dead:
+            # The process is gone, but what it had sent may still arrive.
+            if trouble.testament:
+                loop.call_later(self._service.rng.uniform(0.0, 6.0), self._service.apply, method, path, body)
             await asyncio.Event().wait()
         if trouble.cut:
             await asyncio.sleep(max(0.0, end - loop.now))
@@ -46,6 +51,8 @@
             loop.call_later(end - loop.now + rng.uniform(0.0, 20.0), self._service.apply, method, path, body)
             await asyncio.sleep(max(0.0, end - loop.now))
             raise NoAnswer("late")
+        if method != "GET" and rng.random() < trouble.twice:
+            loop.call_later(rng.uniform(0.1, 30.0), self._service.apply, method, path, body)
         try:
             async with asyncio.timeout(max(0.001, end - loop.now)):
                 answer = await self._service.serve(method, path, body)
--- a/tests/world/workers.py
+++ b/tests/world/workers.py
@@ -62,6 +62,13 @@
             job.cancel()
         self._forget()
 
+    def reborn(self, session: int) -> None:
+        """The machine is back at once, its tasks gone, with this session number."""
+        self._forget()
+        self.session, self.sequence, self.token = session, 0, 0
+        self.granted = self.loop.now
+        self.change.set()
+
     def _forget(self) -> None:
         for task in self.tasks.values():
             self.rules.off(self.name, task.name)
