--- a/src/elmthread/sizing/decide.py
+++ b/src/elmthread/sizing/decide.py
@@ -75,6 +75,11 @@
     return [Supply(start, cores[start]) for start in sorted(cores)]
 
 
+def dear(offer: Offer, cheapest: float) -> bool:
+    """Whether it costs much more a core than the cheapest does."""
+    return offer.price > DEAR * cheapest * offer.cores
+
+
 def finish(work: float, supplies: Sequence[Supply]) -> float:
     """When `work` core-seconds are done by cores that come one after the other (`merged`)."""
     at, cores = 0.0, 0.0
@@ -169,8 +174,7 @@
     cheapest = min((offer.price / offer.cores for offer in offers), default=0.0)
     ranks: dict[tuple[bool, float, float, float], list[Offer]] = {}
     for offer in offers:
-        dear = offer.price > DEAR * cheapest * offer.cores
-        ranks.setdefault((dear, -offer.cores, offer.boot, offer.price), []).append(offer)
+        ranks.setdefault((dear(offer, cheapest), -offer.cores, offer.boot, offer.price), []).append(offer)
     line: list[Offer] = []
     for rank in sorted(ranks):
         for turn in range(max(offer.most for offer in ranks[rank])):
--- a/src/elmthread/sizing/service.py
+++ b/src/elmthread/sizing/service.py
@@ -13,7 +13,7 @@
 from elmthread.placement.decide import Room, Want, allowed
 from elmthread.placement.service import Placement
 from elmthread.settings.operators import Operators
-from elmthread.sizing.decide import Band, Group, Offer, Supply, band, fewest, refill
+from elmthread.sizing.decide import Band, Group, Offer, Supply, band, dear, fewest, refill
 
 log = logging.getLogger(__name__)
 
@@ -111,7 +111,12 @@
         offers = self._offers(waiting)
         if not offers:
             return
-        groups, usable = self._groups(waiting, rooms, now, min(offer.boot for offer in offers))
+        cheap = [offer for offer in offers if not dear(offer, self._cheapest())]
+        # Machines that cost much more a core are for what would be late without them even if
+        # all went as expected; the others keep a margin.
+        margin = MARGIN if cheap else 1.0
+        offers = cheap or offers
+        groups, usable = self._groups(waiting, rooms, now, min(offer.boot for offer in offers), margin)
         supplies = self._supplies(places, waiting[0], now)
         busy, ahead = self._running(places, now)
         usable -= sum(supply.cores for supply in supplies) - busy
@@ -122,7 +127,7 @@
             self._fleet.order(kind, count, pool)
 
     def _groups(
-        self, waiting: list[Want], rooms: dict[str, Room], now: timedelta, boot: float
+        self, waiting: list[Want], rooms: dict[str, Room], now: timedelta, boot: float, margin: float
     ) -> tuple[list[Group], float]:
         """Waiting deferrable tasks by deadline, and the cores they could use at once."""
         by_due: dict[int, Group] = {}
@@ -136,7 +141,7 @@
             # A team at its limit still uses its share as its running tasks end.
             usable = max(cores, want.cpus)
             work = want.count * want.cpus * each
-            due = (job.since + job.deadline * MARGIN - now).total_seconds()
+            due = (job.since + job.deadline * margin - now).total_seconds()
             soonest = boot + max(each, work / usable)
             if due < soonest:
                 # Can't be saved, so it is no reason to hurry; but it must not wait for ever.
@@ -201,6 +206,10 @@
                         offers.append(Offer(kind.name, zone, spot, kind.cpus, price, kind.boot_s * BOOT))
         return offers
 
+    def _cheapest(self) -> float:
+        """The lowest price a core of all kinds there are, whether they can be had now or not."""
+        return min(kind.spot_price / kind.cpus for kind in self._fleet.types.values() if kind.cpus)
+
     def _fade(self, wants: list[Want], rooms: dict[str, Room], urgent: float, now: timedelta) -> None:
         """Marks the machines that booked and waiting work can do without, the dearest first.
 
