--- a/src/elmthread/sizing/service.py
+++ b/src/elmthread/sizing/service.py
@@ -111,12 +111,14 @@
         offers = self._offers(waiting)
         if not offers:
             return
-        cheap = [offer for offer in offers if not dear(offer, self._cheapest())]
+        cheap = self._cheap(offers)
         # Machines that cost much more a core are for what would be late without them even if
         # all went as expected; the others keep a margin.
-        margin = MARGIN if cheap else 1.0
-        offers = cheap or offers
-        groups, usable = self._groups(waiting, rooms, now, min(offer.boot for offer in offers), margin)
+        offers, only_dear = cheap or offers, not cheap
+        boot = min(offer.boot for offer in offers)
+        # Nor are they for what can't be saved, as long as there is a machine that serves it in time.
+        margin = 1.0 if only_dear else MARGIN
+        groups, usable = self._groups(waiting, rooms, now, boot, margin, only_dear and bool(places))
         supplies = self._supplies(places, waiting[0], now)
         busy, ahead = self._running(places, now)
         usable -= sum(supply.cores for supply in supplies) - busy
@@ -127,7 +129,7 @@
             self._fleet.order(kind, count, pool)
 
     def _groups(
-        self, waiting: list[Want], rooms: dict[str, Room], now: timedelta, boot: float, margin: float
+        self, waiting: list[Want], rooms: dict[str, Room], now: timedelta, boot: float, margin: float, skip: bool
     ) -> tuple[list[Group], float]:
         """Waiting deferrable tasks by deadline, and the cores they could use at once."""
         by_due: dict[int, Group] = {}
@@ -144,6 +146,8 @@
             due = (job.since + job.deadline * margin - now).total_seconds()
             soonest = boot + max(each, work / usable)
             if due < soonest:
+                if skip:
+                    continue
                 # Can't be saved, so it is no reason to hurry; but it must not wait for ever.
                 due = soonest * SECOND_CHANCE
             group = by_due.setdefault(math.floor(due / GROUP), Group(due, 0.0, 0.0, 0.0))
@@ -206,9 +210,10 @@
                         offers.append(Offer(kind.name, zone, spot, kind.cpus, price, kind.boot_s * BOOT))
         return offers
 
-    def _cheapest(self) -> float:
-        """The lowest price a core of all kinds there are, whether they can be had now or not."""
-        return min(kind.spot_price / kind.cpus for kind in self._fleet.types.values() if kind.cpus)
+    def _cheap(self, offers: list[Offer]) -> list[Offer]:
+        """Those that don't cost much more a core than the cheapest kind, whether that can be had or not."""
+        cheapest = min(kind.spot_price / kind.cpus for kind in self._fleet.types.values() if kind.cpus)
+        return [offer for offer in offers if not dear(offer, cheapest)]
 
     def _fade(self, wants: list[Want], rooms: dict[str, Room], urgent: float, now: timedelta) -> None:
         """Marks the machines that booked and waiting work can do without, the dearest first.
@@ -278,7 +283,7 @@
                 cores += kind.cpus * order.count
         match band(urgent, cores, self.theta, self._operators.delta):
             case Band.RENT:
-                self._rent_more(wants, urgent / self.theta - cores)
+                self._rent_more(wants, urgent, cores)
             case Band.RETURN:
                 self._return_some(outside, urgent, cores, now)
             case Band.STAY:
@@ -294,10 +299,15 @@
             mean = sum(demand for _, demand in self._demand) / len(self._demand)
             self.theta = min(max(mean / peak, self._operators.theta), 0.9)
 
-    def _rent_more(self, wants: list[Want], lacking: float) -> None:
-        """Brings the share back into the band with the fewest machines."""
+    def _rent_more(self, wants: list[Want], urgent: float, cores: float) -> None:
+        """Brings the share back into the band with the fewest machines.
+
+        Where only kinds are left that cost much more, a reserve over what is booked is not
+        worth its price: urgent work can requeue deferrable work.
+        """
         offers = self._offers([want for want in wants if want.urgent] or wants)
-        self._order(refill(offers, lacking, MOST_AT_ONCE), pool=False)
+        cheap = self._cheap(offers)
+        self._order(refill(cheap or offers, urgent / (self.theta if cheap else 1.0) - cores, MOST_AT_ONCE), pool=False)
 
     def _return_some(self, outside: list[Machine], urgent: float, cores: float, now: timedelta) -> None:
         """Empty machines go back, the dearest first, as far as the share stays in the band."""
