--- a/src/elmthread/sizing/service.py
+++ b/src/elmthread/sizing/service.py
@@ -79,14 +79,20 @@
         for want in wants:
             kinds.setdefault((want.types, want.zone, want.spot, want.cpus, want.cards), []).append(want)
         alike: dict[tuple[Any, ...], list[Want]] = {}
+        first: list[tuple[set[str], list[Want]]] = []
         for group in kinds.values():
             places = self._places(group[0])
-            # Urgent work is the band's, unless nothing there is could take it at all.
+            # Urgent work is the band's, unless nothing there is could take it at all; but it
+            # goes ahead of what is judged here.
             waiting = [want for want in group if not want.urgent or not places]
             if waiting:
                 alike.setdefault(places, []).extend(waiting)
+            if places:
+                first.append((set(places), [want for want in group if want.urgent]))
         for places, together in alike.items():
-            self._rent_for(together, set(places), rooms, now)
+            here = set(places)
+            urgent = [want for others, wants in first if not here.isdisjoint(others) for want in wants]
+            self._rent_for(together, urgent, here, rooms, now)
 
     def _places(self, want: Want) -> tuple[str, ...]:
         """The machines, up or coming, that could take the tasks at all."""
@@ -107,7 +113,9 @@
                 places.append(machine.name)
         return tuple(places)
 
-    def _rent_for(self, waiting: list[Want], places: set[str], rooms: dict[str, Room], now: timedelta) -> None:
+    def _rent_for(
+        self, waiting: list[Want], urgent: list[Want], places: set[str], rooms: dict[str, Room], now: timedelta
+    ) -> None:
         offers = self._offers(waiting)
         if not offers:
             return
@@ -120,7 +128,9 @@
         groups, usable = self._groups(waiting, rooms, now, boot, hard)
         supplies = self._supplies(places, waiting[0], now)
         busy, ahead = self._running(places, now)
-        usable -= sum(supply.cores for supply in supplies) - busy
+        for want in urgent:
+            ahead += want.count * want.cpus * self._expected(self._book.jobs[want.job]).total_seconds()
+        usable += _usable(urgent, rooms) + busy - sum(supply.cores for supply in supplies)
         self._order(fewest(groups, supplies, ahead, offers, usable, MOST_AT_ONCE), pool=True)
 
     def _order(self, chosen: list[Offer], pool: bool) -> None:
@@ -162,7 +172,7 @@
             if machine.name not in places:
                 continue
             if machine.state is MachineState.UP:
-                supplies.append(Supply(0.0, machine.cpus - machine.urgent_cpus))
+                supplies.append(Supply(0.0, machine.cpus))
                 continue
             kind = self._fleet.types[machine.build]
             age = (now - machine.known_since).total_seconds()
@@ -176,13 +186,12 @@
         return supplies
 
     def _running(self, places: set[str], now: timedelta) -> tuple[float, float]:
-        """Cores that deferrable tasks hold, and the core-seconds that they still take."""
+        """Cores that tasks hold, and the core-seconds that they still take."""
         cores = work = 0.0
         for name in places:
             for hold in self._book.machines[name].holds.values():
-                if not hold.job.urgent:
-                    cores += hold.job.spec.cpus
-                    work += hold.job.spec.cpus * self._left(hold, now)
+                cores += hold.job.spec.cpus
+                work += hold.job.spec.cpus * self._left(hold, now)
         return cores, work
 
     def _left(self, hold: Hold, now: timedelta) -> float:
