A job is not tried again where it failed; sick machines told from bad jobs

Cause: a machine that fails what it starts has room at once, so one job's tasks went back to it for ever as long as nothing else failed there (found by a test whose timing had changed). And a large job that met three sick machines before any of its tasks was done was taken for bad: put off by up to 120 s, doubling with each task, and no machine blamed.

Now a job avoids for 60 s the machines that it failed on, counts as bad only if it runs on no more machines than it failed on, and what fails together counts once.

--- a/src/elmthread/agents/health.py
+++ b/src/elmthread/agents/health.py
@@ -1,40 +1,73 @@
 """Faulty machines told from faulty jobs.
 
-Tasks of different jobs failing on one machine speak against the machine; one job failing on
-several machines speaks against the job, which is then tried ever less often and blames none.
+Tasks of different jobs failing on one machine speak against the machine, as does a job that
+fails there while it runs elsewhere. One job failing on several machines and running nowhere
+speaks against the job, which is then tried ever less often and blames none. Either way a job
+is not tried again for a while where it has failed: a machine that fails at once has room at
+once, and would be given the same tasks for ever.
 """
 
 from datetime import timedelta
 
 from elmthread.common.clock import ZERO, seconds
-from elmthread.placement.book import Job, Machine
+from elmthread.placement.book import HoldState, Job, Machine
 
 FIRST_PAUSE = seconds(2)
 LONGEST_PAUSE = seconds(120)
-# A job that failed on this many machines without a success between is itself suspect.
+# A job that failed on this many machines and runs on no more than that is itself suspect.
 MACHINES_OF_A_BAD_JOB = 3
 FAILURES_OF_A_BAD_MACHINE = 2
+# A task that has run for this long has not failed at its start.
+SURVIVED = seconds(3)
+# A job that fails everywhere must still be tried: what it avoids is bounded in number and time.
+MOST_AVOIDED = 20
+AVOIDED = seconds(60)
 
 
 class Health:
     def failed(self, machine: Machine, job: Job, now: timedelta) -> None:
+        if len(job.errors) >= MOST_AVOIDED:
+            job.errors.clear()
         job.errors.add(machine.name)
-        if len(job.errors) >= MACHINES_OF_A_BAD_JOB:
-            job.backoff = min(max(job.backoff * 2, FIRST_PAUSE), LONGEST_PAUSE)
-            job.retry_at = now + job.backoff
-            return
+        job.failed_at = now
         machine.failures[job.id] = machine.failures.get(job.id, 0) + 1
-        # Several failures of one job count as well once the job has done tasks elsewhere.
+        fine = _runs_on(job, now)
+        if not job.count_done and fine <= len(job.errors) >= MACHINES_OF_A_BAD_JOB:
+            # Tasks that fail together are one failure.
+            if now >= job.retry_at:
+                job.backoff = min(max(job.backoff * 2, FIRST_PAUSE), LONGEST_PAUSE)
+                job.retry_at = now + job.backoff
+            return
         if len(machine.failures) >= FAILURES_OF_A_BAD_MACHINE or (
-            machine.failures[job.id] >= FAILURES_OF_A_BAD_MACHINE and job.count_done > 0
+            machine.failures[job.id] >= FAILURES_OF_A_BAD_MACHINE and (job.count_done or fine)
         ):
             machine.suspect = True
 
     def succeeded(self, machine: Machine, job: Job) -> None:
-        job.errors.clear()
         job.backoff = ZERO
+        job.errors.discard(machine.name)
         machine.failures.clear()
 
+    def forgive(self, job: Job, now: timedelta) -> None:
+        if job.errors and now - job.failed_at > AVOIDED:
+            job.errors.clear()
+
     def refused(self, job: Job, now: timedelta) -> None:
         # A refusal is soon over (room being freed, a job being uploaded): a short pause.
         job.retry_at = max(job.retry_at, now + seconds(1))
+
+
+def _runs_on(job: Job, now: timedelta) -> int:
+    """Machines on which the job's tasks have not failed and have run for a while; a few are enough."""
+    fine: set[str] = set()
+    for hold in job.live.values():
+        if (
+            hold.state is HoldState.RUNNING
+            and hold.started_at is not None
+            and now - hold.started_at >= SURVIVED
+            and hold.machine.name not in job.errors
+        ):
+            fine.add(hold.machine.name)
+            if len(fine) > len(job.errors):
+                break
+    return len(fine)
--- /dev/null
+++ b/src/elmthread/agents/tests/test_health.py
@@ -0,0 +1,83 @@
+"""Sick machines and bad jobs, told apart by where tasks fail and where they run."""
+
+from datetime import UTC, datetime
+
+from elmthread.agents.health import FIRST_PAUSE, Health
+from elmthread.common.clock import ZERO, seconds
+from elmthread.intake.messages import read_submission
+from elmthread.placement.book import Book, HoldState, Job, Machine, MachineState
+from tests.world.world import job as wire
+
+
+class Bench:
+    def __init__(self) -> None:
+        self.book = Book(100)
+        self.health = Health()
+        self.attempt = 0
+
+    def machine(self, number: int) -> Machine:
+        machine = Machine(f"m-{number}", "small", "east", False, MachineState.UP, ZERO)
+        self.book.add_machine(machine)
+        return machine
+
+    def job(self, number: int, tasks: int = 100) -> Job:
+        spec = read_submission(wire(number, pieces=tasks))
+        job = Job(spec, datetime.now(UTC), ZERO, seconds(100), 1.0, False, 64)
+        self.book.add_job(job)
+        return job
+
+    def runs(self, job: Job, machine: Machine) -> None:
+        self.attempt += 1
+        hold = self.book.hold(machine, job, job.pending.popleft(), self.attempt, HoldState.READY)
+        hold.started_at = ZERO
+        hold.move(HoldState.RUNNING)
+
+
+def test_large_job_that_meets_sick_machines_is_not_put_off() -> None:
+    """Its first tasks fail at once on the sick machines, long before any is done on the others."""
+    bench = Bench()
+    job = bench.job(1)
+    for number in range(10, 40):
+        bench.runs(job, bench.machine(number))
+    sick = [bench.machine(number) for number in range(4)]
+    for _ in range(4):
+        for machine in sick:
+            bench.health.failed(machine, job, seconds(5))
+    assert job.retry_at == ZERO
+    assert all(machine.suspect for machine in sick)
+    assert job.errors == {machine.name for machine in sick}
+
+
+def test_bad_job_waits_ever_longer_and_blames_no_machine() -> None:
+    bench = Bench()
+    job = bench.job(1)
+    machines = [bench.machine(number) for number in range(6)]
+    now, pauses = seconds(1), []
+    for machine in machines:
+        # Many of its tasks fail together, which counts once.
+        for _ in range(8):
+            bench.health.failed(machine, job, now)
+        pauses.append(job.retry_at - now)
+        now = max(now, job.retry_at) + seconds(1)
+    assert pauses[2:] == [FIRST_PAUSE, FIRST_PAUSE * 2, FIRST_PAUSE * 4, FIRST_PAUSE * 8]
+    assert not any(machine.suspect for machine in machines)
+
+
+def test_a_job_that_failed_on_all_machines_is_tried_again() -> None:
+    bench = Bench()
+    job = bench.job(1)
+    for number in range(3):
+        bench.health.failed(bench.machine(number), job, seconds(1))
+    bench.health.forgive(job, seconds(30))
+    assert len(job.errors) == 3
+    bench.health.forgive(job, seconds(62))
+    assert not job.errors
+
+
+def test_failures_of_two_jobs_speak_against_the_machine() -> None:
+    bench = Bench()
+    machine = bench.machine(1)
+    bench.health.failed(machine, bench.job(1), seconds(1))
+    assert not machine.suspect
+    bench.health.failed(machine, bench.job(2), seconds(1))
+    assert machine.suspect
--- a/src/elmthread/controller.py
+++ b/src/elmthread/controller.py
@@ -145,7 +145,13 @@
             lambda: self.placement.waiting,
         )
         self.placement = Placement(
-            self.book, self._teams, clock, self._next_attempt, self.agents.assign, self._expected
+            self.book,
+            self._teams,
+            clock,
+            self._next_attempt,
+            self.agents.assign,
+            self._expected,
+            self.agents.health.forgive,
         )
         self.sizing = Sizing(self.book, self.fleet, self.placement, self._expected, operators, clock)
         self.loaded = False
--- a/src/elmthread/placement/book.py
+++ b/src/elmthread/placement/book.py
@@ -41,6 +41,7 @@
         "deadline",
         "done",
         "errors",
+        "failed_at",
         "held",
         "id",
         "latest",
@@ -98,7 +99,9 @@
         # Tasks seen running, for display.
         self.running = 0
         self.zones: dict[str, int] = {}
+        # Machines on which it failed of late, and when it did last.
         self.errors: set[str] = set()
+        self.failed_at = ZERO
         self.retry_at = ZERO
         self.backoff = ZERO
 
--- a/src/elmthread/placement/decide.py
+++ b/src/elmthread/placement/decide.py
@@ -2,7 +2,7 @@
 
 import heapq
 import math
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 from dataclasses import dataclass, field
 from datetime import timedelta
 from enum import IntEnum
@@ -50,6 +50,8 @@
     # Tasks of the job by zone, as far as they may be on machines now.
     zones: dict[str, int] = field(default_factory=dict)
     zone_most: float = math.inf  # for a spread job: most tasks in one zone
+    # Machines on which the job has failed: not tried again there.
+    avoid: Collection[str] = frozenset()
     urgent: bool = False
 
 
@@ -76,7 +78,7 @@
 
 def fits(want: Want, slot: Slot, room: Room) -> int:
     """How many of the tasks the machine, the team's limit and the zones take."""
-    if not allowed(want, slot.build, slot.zone, slot.spot):
+    if slot.name in want.avoid or not allowed(want, slot.build, slot.zone, slot.spot):
         return 0
     count = min(want.count, slot.most)
     cpus = min(slot.cpus, room.cpus)
@@ -273,7 +275,7 @@
 
     def offer(order: int, name: str) -> None:
         slot = slots.get(name)
-        if slot is None or not allowed(want, slot.build, slot.zone, slot.spot):
+        if slot is None or name in want.avoid or not allowed(want, slot.build, slot.zone, slot.spot):
             return
         some = enough(want, slot, victims[name])
         if some is not None:
--- a/src/elmthread/placement/service.py
+++ b/src/elmthread/placement/service.py
@@ -37,6 +37,7 @@
         next_attempt: Callable[[], int],
         assign: Callable[[Machine], None],
         expected: Callable[[Job], timedelta],
+        forgive: Callable[[Job, timedelta], None],
     ) -> None:
         self._book = book
         self._teams = teams
@@ -44,6 +45,7 @@
         self._next_attempt = next_attempt
         self._assign = assign
         self._expected = expected
+        self._forgive = forgive
         self._guaranteed: set[str] = set()
         self._last: set[str] = set()
         self._ordered_at: timedelta | None = None
@@ -107,6 +109,7 @@
             count = len(job.pending)
             if not count or job.stored is not JobState.OPEN or job.retry_at > now:
                 continue
+            self._forgive(job, now)
             due = (job.since + job.aim - now).total_seconds()
             first = _unbegun(job, now)
             # Urgent work by rank and deadline; then work within a guarantee; then by deadline,
@@ -209,6 +212,7 @@
             one_zone=spec.one_zone,
             zones=dict(job.zones) if spec.one_zone or spec.spread else {},
             zone_most=math.ceil(job.total / 2) if spec.spread else math.inf,
+            avoid=job.errors,
             urgent=job.urgent,
         )
 
--- a/src/elmthread/placement/tests/plain.py
+++ b/src/elmthread/placement/tests/plain.py
@@ -75,7 +75,7 @@
         best: tuple[float, list[Victim], Slot] | None = None
         for name, held in by_machine.items():
             slot = slots.get(name)
-            if slot is None or not allowed(want, slot.build, slot.zone, slot.spot):
+            if slot is None or name in want.avoid or not allowed(want, slot.build, slot.zone, slot.spot):
                 continue
             if want.zone_most < math.inf and want.zones.get(slot.zone, 0) >= want.zone_most:
                 continue
--- a/src/elmthread/placement/tests/test_decide.py
+++ b/src/elmthread/placement/tests/test_decide.py
@@ -173,6 +173,7 @@
                 spot=rng.random() < 0.9,
                 one_zone=rng.random() < 0.1,
                 zone_most=rng.choice([math.inf, math.inf, 9.0]),
+                avoid={f"m-{rng.randrange(machines)}" for _ in range(3)},
                 urgent=urgent,
             )
         )
--- a/tests/test_world.py
+++ b/tests/test_world.py
@@ -164,9 +164,9 @@
         await asyncio.sleep(2)
         sick = next(iter(world.workers))
         world.workers[sick].sick = True
-        for number in range(6):
+        for number in range(14):
             assert await world.submit(job(number))
-        await world.until_over([f"run-{n:06d}" for n in range(6)], 120)
+        await world.until_over([f"run-{n:06d}" for n in range(14)], 120)
         assert sick in world.cloud.deleted
 
     day(script)
