--- a/src/elmthread/controller.py
+++ b/src/elmthread/controller.py
@@ -22,7 +22,7 @@
 from elmthread.ledger import messages as ledger_messages
 from elmthread.ledger import records
 from elmthread.ledger.client import StateClient, Unavailable, Unsure
-from elmthread.ledger.log import SLOTS, Slots
+from elmthread.ledger.log import SLOTS, Misread, Slots
 from elmthread.ledger.pacing import Bucket
 from elmthread.ledger.records import LAYOUT
 from elmthread.ledger.writer import Rank, Writer
@@ -249,7 +249,10 @@
         ):
             for key, value in view.items():
                 if key.startswith(prefix):
-                    read(key, value)
+                    try:
+                        read(key, value)
+                    except (msgspec.MsgspecError, ValueError) as error:
+                        raise Misread(f"{key}: {error}") from error
                     count += 1
                     if count % BREATH == 0:
                         await asyncio.sleep(0)
@@ -469,6 +472,7 @@
         except Exception:
             # A fault in one leader's work: another, with a view built anew, may fare better.
             log.exception("the leader's work has failed")
+            self.election.rest()
             leader.tenure.step_down("a fault")
 
     def _lost(self) -> None:
--- a/src/elmthread/leadership/election.py
+++ b/src/elmthread/leadership/election.py
@@ -29,6 +29,8 @@
 MARGIN = seconds(0.15)
 RETRY = seconds(0.3)
 WATCH = seconds(10)
+# A node whose leader's work has failed leaves leading to others for this long.
+REST = seconds(4)
 
 
 class Role(Enum):
@@ -74,6 +76,7 @@
         self.seen_token = 0
         self.leader: str | None = None
         self._sure_until = ZERO
+        self._rest_until = ZERO
         self._given_up = asyncio.Event()
 
     def _move(self, new: Role) -> None:
@@ -117,6 +120,10 @@
         self._given_up.set()
         self._lost()
 
+    def rest(self) -> None:
+        """A fault ended this node's leadership: another try at once would find the same."""
+        self._rest_until = self._clock() + REST
+
     async def run(self) -> None:
         while True:
             try:
@@ -132,6 +139,9 @@
             self.leader = None
             # A short random wait: two nodes that try at once both spend a change.
             await asyncio.sleep(random.uniform(0.0, 0.05))
+            if self._clock() < self._rest_until:
+                await asyncio.sleep(RETRY.total_seconds())
+                return
             await self._stand()
             return
         record = _record(item)
--- /dev/null
+++ b/tests/test_store.py
@@ -0,0 +1,84 @@
+"""What stands in the store: an earlier layout is taken over, what can't be read is named."""
+
+import asyncio
+import logging
+from typing import Any
+
+import pytest
+
+from elmthread.ledger.log import SLOTS, Slots
+from tests.test_world import day
+from tests.world.loop import play
+from tests.world.world import World, job
+
+
+def put(world: World, key: str, value: Any) -> None:
+    world.store.revision += 1
+    world.store.items[key] = (value, world.store.revision, None)
+
+
+def test_store_of_the_earlier_layout_is_taken_over_once() -> None:
+    async def script(world: World) -> None:
+        assert (await world.until_over(["run-000001"], 60)) == {"run-000001": "done"}
+        assert await world.poll("run-000002") == "done"
+        assert await world.poll("run-000003") is None
+        # Tasks 0 to 2 were done before.
+        assert {task for task in world.rules.starts if task.startswith("run-000001")} == {"run-000001/3"}
+        # From now on the old keys are not looked at, whatever becomes of them.
+        await asyncio.sleep(8)
+        put(world, "j/run-000002", {"state": "cancelled", "tasks": 4})
+        assert world.leader is not None
+        world.leader.election.step_down("told to")
+        await asyncio.sleep(8)
+        assert await world.poll("run-000002") == "done"
+        slots = [(k, v, stamp) for k, (v, stamp, _) in world.store.items.items() if k.startswith(SLOTS)]
+        assert Slots(8 * 1024).load(slots)["j/run-000002"] == {"state": "done", "tasks": 4}
+
+    def before(world: World) -> None:
+        spec = job(1, true_s=4.0)
+        world.rules.submitted(dict(spec))
+        world.rules.submitted(job(2))
+        world.rules.finished |= {f"run-000001/{n}" for n in range(3)} | {f"run-000002/{n}" for n in range(4)}
+        del spec["true_s"]
+        put(world, "j/run-000001", {"state": "open", "tasks": 4, "at": 1.0, "chunk": 64, "spec": spec})
+        put(world, "j/run-000002", {"state": "done", "tasks": 4})
+        put(world, "d/run-000001/0000", {"marks": "0700000000000000"})
+        machine = {"build": "small", "zone": "east", "spot": False, "address": "10.1.0.9:9000"}
+        put(world, "m/m-000900", machine | {"holds": {"run-000001": [2, 70000001]}})
+
+    day(script, before=before)
+
+
+@pytest.mark.parametrize(
+    ("value", "named"),
+    [
+        ({"number": 1, "text": '{"j/run-000001":{"state":"open"'}, "s/0000"),
+        ({"number": 1, "text": '{"j/run-000001":{"state":"ajar","tasks":4}}'}, "j/run-000001"),
+        ({"number": 1, "text": '{"m/m-000001":{"build":"small"}}'}, "m/m-000001"),
+    ],
+)
+def test_what_cannot_be_read_is_named_and_never_taken_for_empty(value: Any, named: str) -> None:
+    world = World()
+    put(world, "s/0000", value)
+    told: list[str] = []
+    handler = logging.Handler(logging.ERROR)
+    handler.emit = lambda record: told.append(logging.Formatter().format(record))  # type: ignore[method-assign]
+
+    async def main() -> None:
+        for node in world.nodes:
+            world.start(node)
+        await asyncio.sleep(10)
+        for node in world.nodes:
+            response = await world.ask("GET", "/submissions/run-000001", node=node)
+            assert response.status == 503 and response.retry_after is not None
+        assert world.store.items["s/0000"][0] == value
+
+    log = logging.getLogger("elmthread")
+    log.addHandler(handler)
+    try:
+        play(main(), world.loop)
+    finally:
+        log.removeHandler(handler)
+    assert told and all(named in line for line in told)
+    # Nor do the nodes wear the store out with trying.
+    assert len(told) < 30
--- a/tests/test_world.py
+++ b/tests/test_world.py
@@ -16,9 +16,15 @@
 
 
 def day(
-    script: Callable[[World], Awaitable[None]], seed: int = 1, machines: int = 4, controllers: int = 3, each: int = 3
+    script: Callable[[World], Awaitable[None]],
+    seed: int = 1,
+    machines: int = 4,
+    controllers: int = 3,
+    each: int = 3,
+    before: Callable[[World], None] = lambda world: None,
 ) -> World:
     world = World(seed, controllers, each)
+    before(world)
 
     async def main() -> None:
         for index in range(machines):
