Groups of deferrable work are to end within 0.6 of their time, by cheap kinds

Cause: since urgent work counts as work ahead, fewer machines were rented at the start and scrap-sort came late. Ruled out: more of the dear kinds, they brought no gain before.

--- a/src/elmthread/placement/book.py
+++ b/src/elmthread/placement/book.py
@@ -179,16 +179,14 @@
     BOOTING = auto()  # rented, has not reported yet
     UNSURE = auto()  # may hold what the store says; has not reported to this token
     UP = auto()
-    DRAINING = auto()  # takes nothing new; goes back when empty
     DELETING = auto()  # its deletion is asked for until it is answered
     GONE = auto()
 
 
 MACHINE_STEPS = {
     MachineState.BOOTING: frozenset({MachineState.UP, MachineState.DELETING}),
-    MachineState.UNSURE: frozenset({MachineState.UP, MachineState.DRAINING, MachineState.DELETING}),
-    MachineState.UP: frozenset({MachineState.DRAINING, MachineState.DELETING}),
-    MachineState.DRAINING: frozenset({MachineState.DELETING}),
+    MachineState.UNSURE: frozenset({MachineState.UP, MachineState.DELETING}),
+    MachineState.UP: frozenset({MachineState.DELETING}),
     MachineState.DELETING: frozenset({MachineState.GONE}),
     MachineState.GONE: frozenset[MachineState](),
 }
--- a/src/elmthread/placement/decide.py
+++ b/src/elmthread/placement/decide.py
@@ -106,7 +106,7 @@
 FETCH_COST = {Fetch.THERE: 0.0, Fetch.COMING: 0.5, Fetch.ALONE: 1.0, Fetch.SHARED: 2.0}
 
 
-def _fetch(want: Want, slot: Slot) -> Fetch:
+def way_to_image(want: Want, slot: Slot) -> Fetch:
     if want.image in slot.images:
         return Fetch.THERE
     if want.image in slot.coming:
@@ -114,7 +114,7 @@
     return Fetch.SHARED if slot.coming else Fetch.ALONE
 
 
-def _dearness(want: Want, price: float, cheapest: float) -> float:
+def dearness(want: Want, price: float, cheapest: float) -> float:
     """Price weighed in seconds: a machine at twice the cheapest price per core counts like
     ten seconds of waiting for an image, for urgent work like two.
     """
@@ -122,14 +122,6 @@
     return weight * min(price / cheapest - 1.0 if cheapest > 0 else 0.0, 5.0)
 
 
-def preference(want: Want, slot: Slot, cheapest: float) -> tuple[bool, float, float, str]:
-    """Small is better: machines that are to empty come last; then the time to fetch the
-    image and the price; full machines first.
-    """
-    fetch = FETCH_COST[_fetch(want, slot)] * want.image_gb / slot.fetch_rate
-    return (slot.fading, fetch + _dearness(want, slot.price, cheapest), slot.cpus, slot.name)
-
-
 class _Shelf:
     """Machines alike but for their room, images and zone, the fullest first."""
 
@@ -182,8 +174,8 @@
                 continue
             if shelf.slots[-1].cpus + TINY < want.cpus:
                 continue
-            time, dearness = want.image_gb / one.fetch_rate, _dearness(want, one.price, cheapest)
-            ranks += [(one.fading, FETCH_COST[way] * time + dearness, number, way) for way in Fetch]
+            time, dear = want.image_gb / one.fetch_rate, dearness(want, one.price, cheapest)
+            ranks += [(one.fading, FETCH_COST[way] * time + dear, number, way) for way in Fetch]
         ranks.sort()
         ways: dict[int, dict[Fetch, list[Slot]]] = {}
         for _, _, number, way in ranks:
@@ -191,7 +183,7 @@
             if number not in ways:
                 ways[number] = {}
                 for slot in shelf.slots:
-                    ways[number].setdefault(_fetch(want, slot), []).append(slot)
+                    ways[number].setdefault(way_to_image(want, slot), []).append(slot)
             for slot in ways[number].get(way, ()):
                 count = fits(want, slot, room)
                 if count <= 0:
--- a/src/elmthread/placement/tests/plain.py
+++ b/src/elmthread/placement/tests/plain.py
@@ -3,20 +3,30 @@
 import math
 
 from elmthread.placement.decide import (
+    FETCH_COST,
     TINY,
     Room,
     Slot,
     Victim,
     Want,
     allowed,
+    dearness,
     enough,
     fits,
     keep_for,
-    preference,
     take,
+    way_to_image,
 )
 
 
+def preference(want: Want, slot: Slot, cheapest: float) -> tuple[bool, float, float, str]:
+    """Small is better: machines that are to empty come last; then the time to fetch the
+    image and the price; full machines first.
+    """
+    fetch = FETCH_COST[way_to_image(want, slot)] * want.image_gb / slot.fetch_rate
+    return (slot.fading, fetch + dearness(want, slot.price, cheapest), slot.cpus, slot.name)
+
+
 def place(wants: list[Want], slots: list[Slot], rooms: dict[str, Room]) -> list[tuple[Want, Slot, int]]:
     """Gives tasks to machines in the order of `wants`; slots, rooms and wants are used up."""
     placed: list[tuple[Want, Slot, int]] = []
--- a/src/elmthread/placement/tests/test_decide.py
+++ b/src/elmthread/placement/tests/test_decide.py
@@ -8,7 +8,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from elmthread.placement.decide import Room, Slot, Victim, Want, allowed, place, preempt, preference
+from elmthread.placement.decide import Room, Slot, Victim, Want, allowed, place, preempt
 from elmthread.placement.tests import plain
 
 steady = settings(max_examples=150, deadline=None, derandomize=True, database=None)
@@ -192,7 +192,7 @@
             kept: dict[str, list[tuple[object, ...]]] = {}
             for want, slot, count in placed:
                 # Machines equally good but for their zone may come in any order.
-                kind = preference(want, start[slot.name], cheapest)[:2]  # noqa: B023
+                kind = plain.preference(want, start[slot.name], cheapest)[:2]  # noqa: B023
                 kept.setdefault(want.job, []).extend([kind] * count)
             return {job: sorted(kinds) for job, kinds in kept.items()}
 
--- a/src/elmthread/sizing/service.py
+++ b/src/elmthread/sizing/service.py
@@ -20,7 +20,7 @@
 # Deadlines within this of one another form one group.
 GROUP = 20.0
 # A group is to end within this part of its time: estimates are rough, and starts take a moment.
-MARGIN = 0.75
+MARGIN = 0.6
 # What can't be saved any more is to end within this many times the soonest possible.
 SECOND_CHANCE = 1.5
 # Cores kept over what work needs: room left over in pieces is of no use.
@@ -131,7 +131,19 @@
         for want in urgent:
             ahead += want.count * want.cpus * self._expected(self._book.jobs[want.job]).total_seconds()
         usable += _usable(urgent, rooms) + busy - sum(supply.cores for supply in supplies)
-        self._order(fewest(groups, supplies, ahead, offers, usable, MOST_AT_ONCE), pool=True)
+        chosen = fewest(groups, supplies, ahead, offers, usable, MOST_AT_ONCE)
+        if chosen:
+            log.info(
+                "%s machines for %s groups, due in %.0f to %.0f s, %.0f core-seconds ahead, %.0f in them, %.0f cores",
+                len(chosen),
+                len(groups),
+                groups[0].due,
+                groups[-1].due,
+                ahead,
+                sum(group.work for group in groups),
+                sum(supply.cores for supply in supplies),
+            )
+        self._order(chosen, pool=True)
 
     def _order(self, chosen: list[Offer], pool: bool) -> None:
         for kind, count in Counter(Kind(offer.build, offer.zone, offer.spot) for offer in chosen).items():
