--- a/src/elmthread/placement/service.py
+++ b/src/elmthread/placement/service.py
@@ -88,6 +88,9 @@
                 self._preempted_at = now
                 self._make_room(urgent, rooms, now)
 
+    def limit(self, team: str) -> float:
+        return self._teams[team].cpu_limit if team in self._teams else math.inf
+
     def rooms(self) -> dict[str, Room]:
         return {
             name: Room(
--- a/src/elmthread/sizing/service.py
+++ b/src/elmthread/sizing/service.py
@@ -161,8 +161,8 @@
             room = max(0.0, rooms[want.team].cpus - team_cores.get(want.team, 0.0))
             cores = min(room, want.count * want.cpus)
             team_cores[want.team] = team_cores.get(want.team, 0.0) + cores
-            # A team at its limit still uses its share as its running tasks end.
-            usable = max(cores, want.cpus)
+            # A team at its limit still uses all of that as its running tasks end.
+            usable = max(min(self._placement.limit(want.team), want.count * want.cpus), want.cpus)
             work = want.count * want.cpus * each
             due = (job.since + (job.latest if hard else job.aim * MARGIN) - now).total_seconds()
             soonest = boot + max(each, work / usable)
