--- a/src/elmthread/placement/book.py
+++ b/src/elmthread/placement/book.py
@@ -10,7 +10,7 @@
 from datetime import datetime, timedelta
 from enum import Enum, auto
 
-from elmthread.common.clock import ZERO
+from elmthread.common.clock import ZERO, seconds
 from elmthread.common.states import step
 from elmthread.intake.messages import Submission
 
@@ -192,6 +192,10 @@
 }
 
 
+# A new leader counts on machines that it was told of for about as long as they need to report.
+SOON_SURE = seconds(8)
+
+
 class Machine:
     """One rented machine: what it is, what it may hold, and what was last heard of it."""
 
@@ -289,9 +293,10 @@
     def core_price(self) -> float:
         return self.price / self.cpus if self.cpus else 0.0
 
-    @property
-    def serves(self) -> bool:
-        """Takes work now, or will once it has booted."""
+    def serves(self, now: timedelta) -> bool:
+        """Takes work now, or will soon: once it has booted, or has reported to a new leader."""
+        if self.state is MachineState.UNSURE:
+            return now - self.known_since < SOON_SURE
         return self.state is MachineState.BOOTING or self.open
 
 
--- a/src/elmthread/placement/service.py
+++ b/src/elmthread/placement/service.py
@@ -24,8 +24,8 @@
 # A job that has waited for this long, and of which nothing has begun, starts one task before
 # all others. One that is put off for others' sake has its tasks in turn again, within a part
 # of the cores that all such jobs share.
-BEGIN = seconds(120)
-PART = 0.2
+BEGIN = seconds(150)
+PART = 0.1
 
 
 class Placement:
@@ -191,7 +191,7 @@
         last: set[str] = set()
         for name, line in lines.items():
             last |= forsaken(line, self._teams[name].cpu_limit, urgent.get(name, 0.0))
-        cores = sum(machine.cpus for machine in self._book.machines.values() if machine.serves)
+        cores = sum(machine.cpus for machine in self._book.machines.values() if machine.serves(now))
         if cores:
             rest = [one for line in lines.values() for one in line if one.job not in last]
             last |= forsaken(rest, cores, sum(urgent.values()))
--- a/src/elmthread/sizing/service.py
+++ b/src/elmthread/sizing/service.py
@@ -81,7 +81,7 @@
         alike: dict[tuple[Any, ...], list[Want]] = {}
         first: list[tuple[set[str], list[Want]]] = []
         for group in kinds.values():
-            places = self._places(group[0])
+            places = self._places(group[0], now)
             # Urgent work is the band's, unless nothing there is could take it at all; but it
             # goes ahead of what is judged here.
             waiting = [want for want in group if not want.urgent or not places]
@@ -94,12 +94,12 @@
             urgent = [want for others, wants in first if not here.isdisjoint(others) for want in wants]
             self._rent_for(together, urgent, here, rooms, now)
 
-    def _places(self, want: Want) -> tuple[str, ...]:
+    def _places(self, want: Want, now: timedelta) -> tuple[str, ...]:
         """The machines, up or coming, that could take the tasks at all."""
         fit: dict[tuple[str, str, bool], bool] = {}
         places = []
         for machine in self._book.machines.values():
-            if not machine.serves:
+            if not machine.serves(now):
                 continue
             kind = (machine.build, machine.zone, machine.spot)
             if kind not in fit:
@@ -183,7 +183,7 @@
         for machine in self._book.machines.values():
             if machine.name not in places:
                 continue
-            if machine.state is MachineState.UP:
+            if machine.state is not MachineState.BOOTING:
                 supplies.append(Supply(0.0, machine.cpus))
                 continue
             kind = self._fleet.types[machine.build]
@@ -243,7 +243,8 @@
         only an empty machine is returned, since long tasks kept dear machines for minutes.
         """
         serving = [m for m in self._book.machines.values() if m.open]
-        demand = sum(m.cpus_used for m in serving) + _usable(wants, rooms)
+        # What is on machines that will be taken needs room elsewhere in a moment.
+        demand = sum(m.cpus_used for m in self._book.up()) + _usable(wants, rooms)
         needed = max(demand * SLACK, urgent / max(self.theta - self._operators.delta, 0.05))
         spare = 0.0
         # Of equally dear machines the fuller are kept: the others are closer to being empty.
@@ -259,7 +260,7 @@
 
     def _move_away(self, machine: Machine, now: timedelta) -> None:
         holds = list(machine.holds.values())
-        if all(
+        if any(hold.stop is None for hold in holds) and all(
             hold.job.spec.saves and hold.started_at is not None and now - hold.started_at > SETTLED for hold in holds
         ):
             log.info("%s is emptied: its %s tasks save and go on elsewhere", machine.name, len(holds))
@@ -330,9 +331,11 @@
         self._order(refill(cheap or offers, urgent / (self.theta if cheap else 1.0) - cores, MOST_AT_ONCE), pool=False)
 
     def _return_some(self, outside: list[Machine], urgent: float, cores: float, now: timedelta) -> None:
-        """Empty machines go back, the dearest first, as far as the share stays in the band."""
+        """Empty machines that no other work needs go back, the dearest first, as far as the
+        share stays in the band.
+        """
         most = self.theta + self._operators.delta
-        empty = [m for m in outside if m.state is MachineState.UP and not m.holds and now - m.empty_since > IDLE]
+        empty = [m for m in outside if m.open and m.fading and not m.holds and now - m.empty_since > IDLE]
         for machine in sorted(empty, key=lambda m: -m.core_price):
             if urgent <= most * (cores - machine.cpus):
                 cores -= machine.cpus
--- a/tests/test_troubles.py
+++ b/tests/test_troubles.py
@@ -261,3 +261,23 @@
             assert waited < 240, (job_id, waited)
 
     day(script, machines=6, each=0)
+
+
+def test_new_leader_rents_nothing_for_work_that_its_machines_will_take() -> None:
+    """Seen in an incident: before the workers had reported to it, a new leader rented for all that waited."""
+
+    async def script(world: World) -> None:
+        assert await world.submit(job(1, pieces=150, true_s=10.0, expected_s=10.0))
+        await asyncio.sleep(12)
+        for number in range(2, 5):
+            assert await world.submit(job(number, pieces=20, true_s=10.0, expected_s=10.0))
+        await asyncio.sleep(8)
+        assert world.leader is not None
+        rented = dict(world.cloud.requests)
+        world.kill(world.leader.api._node)
+        await asyncio.sleep(8)
+        assert world.leader is not None and world.cloud.requests == rented
+        ids = [f"run-{number:06d}" for number in range(1, 5)]
+        assert set((await world.until_over(ids, 200)).values()) == {"done"}
+
+    day(script, machines=8, each=20)
