--- a/src/elmthread/agents/messages.py
+++ b/src/elmthread/agents/messages.py
@@ -4,6 +4,9 @@
 
 import msgspec
 
+# Counts, versions, tokens and attempts are smaller than this.
+MOST = 1 << 64
+
 
 class Task(msgspec.Struct, rename={"name": "piece", "attempt": "try", "state": "status", "why": "cause"}):
     name: str
@@ -46,7 +49,12 @@
 
 def read_report(body: Any) -> Report:
     """Raises msgspec.ValidationError."""
-    return msgspec.convert(body, Report)
+    report = msgspec.convert(body, Report)
+    # A token is believed: one that can't be would make every leader give way.
+    numbers = (report.session, report.sequence, report.token, *(task.attempt for task in report.tasks))
+    if min(numbers) < 0 or max(numbers) >= MOST:
+        raise msgspec.ValidationError("a number is out of range")
+    return report
 
 
 def task_name(job_id: str, task: int) -> str:
--- a/tests/test_troubles.py
+++ b/tests/test_troubles.py
@@ -126,6 +126,36 @@
     assert max(world.rules.starts.values()) == 1
 
 
+def test_bad_reports_are_answered_at_once_and_disturb_nobody() -> None:
+    async def script(world: World) -> None:
+        assert await world.submit(job(1, true_s=20.0, expected_s=20.0))
+        await asyncio.sleep(8)
+        leader = world.leader
+        assert leader is not None
+        before = sorted(world.rules.where)
+        good = next(iter(world.workers.values()))._body()
+        for change in (
+            {"baton": 1 << 64},
+            {"baton": -1},
+            {"tally": "many"},
+            {"shift": None},
+            {"pieces": [{"piece": "run-000001/0"}]},
+            {"pieces": [{"piece": "run-000001/0", "try": -5, "status": "running"}]},
+            {"pieces": "none"},
+        ):
+            response = await world.report(good | change, leader.api._node)
+            assert response.status == 400, change
+        assert (await world.report([1, 2], leader.api._node)).status == 400
+        # Of a machine that nobody knows: it gets the token, and nothing else changes.
+        stranger = good | {"loom": "m-999999", "baton": 0, "pieces": []}
+        assert (await world.report(stranger, leader.api._node)).status == 200
+        assert world.leader is leader and sorted(world.rules.where) == before
+        assert (await world.until_over(["run-000001"], 60)) == {"run-000001": "done"}
+
+    world = day(script)
+    assert max(world.rules.starts.values()) == 1
+
+
 # Back at once
 
 
--- a/tests/world/world.py
+++ b/tests/world/world.py
@@ -255,6 +255,9 @@
         await asyncio.sleep(self.rng.uniform(0.001, 0.01))
         return response
 
+    async def report(self, body: Any, node: str) -> Response:
+        return await self.controllers[node].api.handle(Request("POST", "/agent/beat", {}, cbor2.dumps(body)))
+
     def _copy(self, node: str, request: Request) -> None:
         if node in self.controllers and node not in self.cut_nodes:
             self.loop.create_task(self.controllers[node].api.handle(request))
