--- a/tests/test_troubles.py
+++ b/tests/test_troubles.py
@@ -311,3 +311,39 @@
         assert set((await world.until_over(ids, 200)).values()) == {"done"}
 
     day(script, machines=8, each=20)
+
+
+def test_half_of_each_class_team_and_size_is_served_in_overload() -> None:
+    """More work than cores for three minutes, then as long to catch up; large jobs among small ones."""
+
+    async def script(world: World) -> None:
+        ids: list[str] = []
+        while world.loop.now < 180:
+            number = len(ids) + 1
+            kind, urgency = [("rush", "high"), ("nightly", "normal"), ("sort", "best_effort")][number % 3]
+            spec = job(
+                number,
+                docket=kind,
+                urgency=urgency,
+                crew="red" if number % 4 == 0 else "blue",
+                pieces=95 if number % 9 == 1 else world.rng.randint(2, 12),
+                cpus=world.rng.choice([1.0, 2.0]),
+                true_s=8.0,
+                expected_s=world.rng.choice([4.0, 8.0, 16.0]),
+            )
+            assert await world.submit(spec)
+            ids.append(spec["name_id"])
+            await asyncio.sleep(1.5)
+        states = await world.until_over(ids, 180)
+        specs = world.rules.specs
+        groups = {
+            **{kind: [i for i in ids if specs[i]["docket"] == kind] for kind in ("rush", "nightly", "sort")},
+            **{team: [i for i in ids if specs[i]["crew"] == team] for team in ("red", "blue")},
+            "largest": [i for i in ids if specs[i]["pieces"] == 95],
+        }
+        for name, members in groups.items():
+            served = sum(states[i] == "done" for i in members)
+            assert served * 2 >= len(members) > 0, (name, served, len(members))
+        assert sum(states[i] == "done" for i in ids) * 1.2 > len(ids)
+
+    day(script, machines=6, each=0)
