Names in any letters are weighed as they may be counted; a refused transaction is told

Found by reading: a slot's size counted a Greek letter as 2 bytes where JSON may write 6, so a full slot could be refused, and was sent again for ever with all that waited behind it.

--- a/src/elmthread/ledger/log.py
+++ b/src/elmthread/ledger/log.py
@@ -43,9 +43,13 @@
 
 
 def weight(key: str, text: str) -> int:
-    """Bytes that a record takes in a slot's value, its quotes escaped once more."""
+    """Bytes that a record takes at most in a slot's value, its quotes escaped once more.
+
+    Letters beyond ASCII are taken as written out (`\\u03b1`), which a size may be counted in.
+    """
     whole = key + text
-    return len(whole.encode()) + whole.count('"') + whole.count("\\") + 8
+    size = len(whole) if whole.isascii() else 3 * len(whole.encode("utf-16-le"))
+    return size + whole.count('"') + whole.count("\\") + 8
 
 
 @dataclass(slots=True, eq=False)
--- a/src/elmthread/ledger/tests/test_writer.py
+++ b/src/elmthread/ledger/tests/test_writer.py
@@ -1,6 +1,7 @@
 """Group commit against the stand-in store: rates, sizes, late copies and other leaders."""
 
 import asyncio
+import json
 import random
 from typing import Any
 
@@ -10,7 +11,7 @@
 
 from elmthread.ledger import messages
 from elmthread.ledger.client import StateClient
-from elmthread.ledger.log import SLOTS, Misread, Slots
+from elmthread.ledger.log import FRAME, SLOTS, Misread, Slots, pack, text_of, weight
 from elmthread.ledger.pacing import Bucket
 from elmthread.ledger.records import LEADER, chunk_tasks, most_holds
 from elmthread.ledger.writer import Rank, Writer
@@ -221,6 +222,15 @@
     assert bench.store.bad_requests == []
 
 
+@settings(max_examples=100, deadline=None, derandomize=True, database=None)
+@given(st.dictionaries(st.text(max_size=8), st.text(max_size=40), max_size=6))
+def test_weight_is_never_less_than_what_a_record_takes(records: dict[str, str]) -> None:
+    """Names in any letters: a value that is too large would be refused for ever."""
+    texts = {key: text_of(value) for key, value in records.items()}
+    taken = len(json.dumps(pack(texts)))
+    assert sum(weight(key, text) for key, text in texts.items()) + FRAME >= taken
+
+
 def test_records_fit_the_value_limit() -> None:
     for kilobytes in (1.0, 8.0, 16.0):
         assert chunk_tasks(kilobytes) / 4 + 50 < kilobytes * 1024
--- a/src/elmthread/ledger/writer.py
+++ b/src/elmthread/ledger/writer.py
@@ -233,7 +233,11 @@
                 log.info("not written: %s", error)
                 self._failed()
                 await asyncio.sleep(PAUSE.total_seconds())
-            except (Unsure, Expired) as error:
+            except Expired:
+                # Refused as malformed, so not carried out, and never will be: told, not repeated.
+                log.error("the state service refuses a transaction of %s slots", len(filled))
+                raise
+            except Unsure as error:
                 # It may have been carried out, or may still be: sent again as it is, it is
                 # carried out once, or the guards on the slots tell that it was.
                 log.info("outcome unknown: %s", error)
