--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -82,3 +82,34 @@
     assert told and all(named in line for line in told)
     # Nor do the nodes wear the store out with trying.
     assert len(told) < 30
+
+
+def test_thousands_of_finished_jobs_hold_up_no_new_leader() -> None:
+    """Their ends are kept for ever: a fail-over loads them all, and every job is answered for at once."""
+    count = 4000
+
+    async def script(world: World) -> None:
+        assert await world.submit(job(9000, true_s=30.0, expected_s=30.0))
+        await asyncio.sleep(6)
+        assert world.leader is not None
+        world.kill(world.leader.api._node)
+        killed = world.loop.now
+        world.rules.calm_since = killed
+        left = {f"run-{number:06d}" for number in (1, 77, 1234, count - 1)} | {"run-009000"}
+        while left:
+            for job_id in sorted(left):
+                if await world.poll(job_id) in ("done", "running"):
+                    left.discard(job_id)
+            await asyncio.sleep(0.3)
+            assert world.loop.now - killed < 8, left
+        assert (await world.until_over(["run-009000"], 60)) == {"run-009000": "done"}
+
+    def before(world: World) -> None:
+        ids = [f"run-{number:06d}" for number in range(count)]
+        for job_id in ids:
+            world.rules.submitted(job(0) | {"name_id": job_id, "pieces": 0})
+        for place in range(0, count, 100):
+            text = ",".join(f'"j/{job_id}":{{"state":"done","tasks":4}}' for job_id in ids[place : place + 100])
+            put(world, f"{SLOTS}{place // 100:04d}", {"number": place + 1, "text": "{" + text + "}"})
+
+    day(script, before=before)
--- a/tests/test_troubles.py
+++ b/tests/test_troubles.py
@@ -7,7 +7,7 @@
 import pytest
 
 from elmthread.placement.book import Machine
-from tests.test_world import day, start
+from tests.test_world import day, set_apart, start
 from tests.world.world import World, job
 
 
@@ -220,6 +220,40 @@
         day(script, seed=seed)
 
 
+# A controller loses the state service and the other controllers, not its workers
+
+
+@pytest.mark.parametrize("drift", [-0.0005, 0.0005])
+def test_leader_apart_with_some_workers_is_followed_without_running_anything_twice(drift: float) -> None:
+    async def script(world: World) -> None:
+        assert await world.submit(job(1, crew="red", pieces=12, true_s=60.0, expected_s=60.0))
+        assert await world.submit(job(2, pieces=14, true_s=60.0, expected_s=60.0))
+        await asyncio.sleep(8)
+        old = world.leader
+        assert old is not None
+        name = old.api._node
+        world.drift[name] = drift
+        set_apart(world, name, True)
+        # Half of the workers hear only the old leader, which answers them for a bounded time.
+        with_old = sorted(world.workers)[::2]
+        world.cut_workers |= {(worker, node) for worker in with_old for node in world.nodes if node != name}
+        apart = world.loop.now
+        while old.election.role.name != "FOLLOWER":
+            await asyncio.sleep(0.1)
+        assert world.loop.now - apart < 20
+        # It comes back in the middle of all that, and the workers with it.
+        await asyncio.sleep(world.rng.uniform(0.0, 10.0))
+        set_apart(world, name, False)
+        world.cut_workers.clear()
+        assert await world.withdraw("run-000002") == "cancelled"
+        await asyncio.sleep(31)
+        world.rules.check_cancelled()
+        assert (await world.until_over(["run-000001"], 200)) == {"run-000001": "done"}
+
+    for seed in range(3):
+        day(script, seed=seed, machines=6)
+
+
 # No job forgotten, nobody left out
 
 
