--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -1,13 +1,13 @@
 """What stands in the store: an earlier layout is taken over, what can't be read is named."""
 
 import asyncio
-import logging
 from typing import Any
 
 import pytest
 
 from elmthread.ledger.log import SLOTS, Slots
 from tests.test_world import day
+from tests.world.faults import errors_logged
 from tests.world.loop import play
 from tests.world.world import World, job
 
@@ -60,9 +60,6 @@
 def test_what_cannot_be_read_is_named_and_never_taken_for_empty(value: Any, named: str) -> None:
     world = World()
     put(world, "s/0000", value)
-    told: list[str] = []
-    handler = logging.Handler(logging.ERROR)
-    handler.emit = lambda record: told.append(logging.Formatter().format(record))  # type: ignore[method-assign]
 
     async def main() -> None:
         for node in world.nodes:
@@ -73,12 +70,8 @@
             assert response.status == 503 and response.retry_after is not None
         assert world.store.items["s/0000"][0] == value
 
-    log = logging.getLogger("elmthread")
-    log.addHandler(handler)
-    try:
+    with errors_logged() as told:
         play(main(), world.loop)
-    finally:
-        log.removeHandler(handler)
     assert told and all(named in line for line in told)
     # Nor do the nodes wear the store out with trying.
     assert len(told) < 30
--- a/tests/test_world.py
+++ b/tests/test_world.py
@@ -1,7 +1,6 @@
 """Whole days in miniature, judged by the plain model of the rules in tests/world/rules.py."""
 
 import asyncio
-import logging
 from collections.abc import Awaitable, Callable
 from functools import partial
 from typing import Any
@@ -11,6 +10,7 @@
 from hypothesis import strategies as st
 
 from tests.world.balancer import Balancer
+from tests.world.faults import errors_logged
 from tests.world.loop import play
 from tests.world.world import NODES, World, job
 
@@ -35,14 +35,8 @@
 
     # A fault in the leader's work ends its leadership and is healed by the next: it must be
     # seen here, since the world goes on as if nothing had been.
-    faults: list[str] = []
-    handler = logging.Handler(logging.ERROR)
-    handler.emit = lambda record: faults.append(record.getMessage())  # type: ignore[method-assign]
-    logging.getLogger("elmthread").addHandler(handler)
-    try:
+    with errors_logged() as faults:
         play(main(), world.loop)
-    finally:
-        logging.getLogger("elmthread").removeHandler(handler)
     assert faults == []
     assert world.rules.broken == []
     assert world.store.bad_requests == []
--- /dev/null
+++ b/tests/world/faults.py
@@ -0,0 +1,19 @@
+"""What the service logs as an error, while something is tried."""
+
+import logging
+from collections.abc import Iterator
+from contextlib import contextmanager
+
+
+@contextmanager
+def errors_logged() -> Iterator[list[str]]:
+    """Collects each error of the service, its trace included."""
+    told: list[str] = []
+    handler = logging.Handler(logging.ERROR)
+    handler.emit = lambda record: told.append(logging.Formatter().format(record))  # type: ignore[method-assign]
+    log = logging.getLogger("elmthread")
+    log.addHandler(handler)
+    try:
+        yield told
+    finally:
+        log.removeHandler(handler)
