Judged again right before bytes leave; workers leave users sockets; frames carry tokens

Answers carry `sure`, asked last; rentals and deletions likewise; forwarded questions and answers name the leadership. Workers' idle connections end with their lease and leave room for users; those that are overdue make room when all are taken. After a standstill, machines are judged only once their reports have been read. The world's nodes can stand still. Leftovers: Slots.returned, events of machines that are gone, a rental's count.

--- a/src/elmthread/agents/messages.py
+++ b/src/elmthread/agents/messages.py
@@ -4,6 +4,8 @@
 
 import msgspec
 
+# Where workers report to.
+BEAT = "/agent/beat"
 # Counts, versions, tokens and attempts are smaller than this.
 MOST = 1 << 64
 
@@ -61,8 +63,11 @@
     return f"{job_id}/{task}"
 
 
+START = "start"
+
+
 def start(name: str, attempt: int) -> dict[str, Any]:
-    return {"verb": "start", "piece": name, "try": attempt}
+    return {"verb": START, "piece": name, "try": attempt}
 
 
 def halt(name: str, attempt: int, grace_s: float) -> dict[str, Any]:
--- a/src/elmthread/agents/service.py
+++ b/src/elmthread/agents/service.py
@@ -105,7 +105,10 @@
 
     def _answer(self, machine: Machine, commands: list[dict[str, Any]]) -> Response:
         machine.answered_at = self._clock()
-        return Response(200, messages.orders(self._tenure.token, commands))
+        body = messages.orders(self._tenure.token, commands)
+        # Judged once more when the bytes leave: a start sent after the lease is one too many.
+        starts = any(command["verb"] == messages.START for command in commands)
+        return Response(200, body, sure=self._tenure.leads if starts else self._tenure.answers_workers)
 
     def _adopt(self, report: Report) -> Machine:
         """A machine nobody told us of: rented by a late request or by an earlier leader."""
@@ -141,12 +144,14 @@
     async def _linger(self, machine: Machine) -> None:
         """Waits a moment for starts that are being made durable: quicker than the next report."""
         event = self._waiting.setdefault(machine.name, asyncio.Event())
-        event.clear()
         try:
             async with asyncio.timeout(LINGER.total_seconds()):
                 await event.wait()
         except TimeoutError:
             pass
+        finally:
+            if self._waiting.get(machine.name) is event:
+                del self._waiting[machine.name]
 
     def assign(self, machine: Machine) -> None:
         """Makes the machine's new holds durable, then lets them be sent."""
--- a/src/elmthread/common/http.py
+++ b/src/elmthread/common/http.py
@@ -18,6 +18,8 @@
 
 MAX_BODY = 64 * 1024
 READ_SIZE = 64 * 1024
+# Connections that the system completes while the loop is busy: a whole fleet may come at once.
+BACKLOG = 512
 # A client that stays silent in the middle of a request, or idle between two, is cut off.
 REQUEST_TIME = seconds(10)
 IDLE_TIME = seconds(75)
@@ -37,6 +39,9 @@
     body: Any = None
     retry_after: timedelta | None = None
     close: bool = False
+    # Asked right before the bytes leave, however long the answer took to get there: a process
+    # may have stood still since it was made. Where it says no, UNSURE leaves instead.
+    sure: Callable[[], bool] | None = None
 
 
 def again(status: int, after: timedelta, why: str) -> Response:
@@ -44,6 +49,8 @@
     return Response(status, {"error": why}, retry_after=after)
 
 
+UNSURE = again(503, seconds(1), "no longer sure")
+
 Handler = Callable[[Request], Awaitable[Response]]
 
 
@@ -65,6 +72,21 @@
 class _Open:
     writer: asyncio.StreamWriter
     until: timedelta
+    heard: timedelta
+    # Between two requests.
+    idle: bool = True
+    crowd: bool = False
+
+
+@dataclass(slots=True, frozen=True)
+class Crowd:
+    """Clients that come by the hundred and ask in short turns: they leave room for the others."""
+
+    path: str
+    # Of the connections of all, at most this many.
+    most: int
+    # Silent for this long between two requests, the client is dead or elsewhere.
+    idle: timedelta
 
 
 @dataclass(eq=False)
@@ -74,11 +96,14 @@
     handle: Handler
     max_connections: int
     clock: Clock = steady
+    crowd: Crowd | None = None
+    refused: int = 0
     _open: set[_Open] = field(default_factory=set)
+    _crowd: int = 0
     _server: asyncio.Server | None = None
 
     async def start(self, host: str, port: int) -> int:
-        self._server = await asyncio.start_server(self._serve, host, port, limit=READ_SIZE, backlog=256)
+        self._server = await asyncio.start_server(self._serve, host, port, limit=READ_SIZE, backlog=BACKLOG)
         return int(self._server.sockets[0].getsockname()[1])
 
     async def sweep(self) -> None:
@@ -96,10 +121,12 @@
             one.writer.transport.abort()
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        if len(self._open) >= self.max_connections:
+        now = self.clock()
+        if len(self._open) >= self.max_connections and not self._make_room(now):
+            self._tell_refused(self.max_connections)
             writer.transport.abort()
             return
-        me = _Open(writer, self.clock() + IDLE_TIME)
+        me = _Open(writer, now + IDLE_TIME, now)
         self._open.add(me)
         try:
             await self._talk(me, reader, writer)
@@ -107,8 +134,40 @@
             pass
         finally:
             self._open.discard(me)
+            self._crowd -= me.crowd
             writer.close()
 
+    def _make_room(self, now: timedelta) -> bool:
+        """Gives up the crowd's connection that has been silent for longest, if it is overdue.
+
+        Clients that were cut off or died leave theirs behind, and come back on new ones.
+        """
+        if self.crowd is None:
+            return False
+        stale = min((one for one in self._open if one.crowd and one.idle), key=lambda one: one.heard, default=None)
+        if stale is None or now - stale.heard < self.crowd.idle / 2:
+            return False
+        self._open.discard(stale)
+        self._crowd -= 1
+        stale.crowd = False
+        stale.writer.transport.abort()
+        return True
+
+    def _join_crowd(self, me: _Open, path: str) -> bool:
+        """Whether this connection may go on; the first request shows who is on it."""
+        if me.crowd or self.crowd is None or path != self.crowd.path:
+            return True
+        if self._crowd >= self.crowd.most and not self._make_room(self.clock()):
+            self._tell_refused(self.crowd.most)
+            return False
+        me.crowd = True
+        self._crowd += 1
+        return True
+
+    def _tell_refused(self, bound: int) -> None:
+        self.refused += 1
+        log.info("connection refused: %s are open (%s refused so far)", bound, self.refused)
+
     async def _talk(self, me: _Open, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         conn = h11.Connection(h11.SERVER, max_incomplete_event_size=16 * 1024)
         while True:
@@ -124,6 +183,7 @@
                         conn.receive_data(data)
                     elif isinstance(event, h11.Request):
                         head = event
+                        me.idle = False
                     elif isinstance(event, h11.Data):
                         body += event.data
                         if len(body) > MAX_BODY:
@@ -142,20 +202,30 @@
                 return
             assert head is not None
             me.until = self.clock() + IDLE_TIME
-            target = urlsplit(head.target.decode("ascii", "replace"))
-            request = Request(head.method.decode("ascii"), target.path, dict(parse_qsl(target.query)), bytes(body))
-            try:
-                response = await self.handle(request)
-            except Exception:
-                # One bad request must not cost the others anything.
-                log.exception("while answering %s %s", request.method, request.path)
-                response = again(503, seconds(1), "internal error")
+            response = await self._respond(me, head, bytes(body))
             writer.write(_encode(conn, response))
             await writer.drain()
             if conn.our_state is not h11.DONE or conn.their_state is not h11.DONE:
                 return
             conn.start_next_cycle()
-            me.until = self.clock() + IDLE_TIME
+            me.idle = True
+            me.heard = self.clock()
+            me.until = me.heard + (self.crowd.idle if me.crowd and self.crowd else IDLE_TIME)
+
+    async def _respond(self, me: _Open, head: h11.Request, body: bytes) -> Response:
+        try:
+            target = urlsplit(head.target.decode("ascii", "replace"))
+        except ValueError:
+            return Response(400, {"error": "malformed target"}, close=True)
+        if not self._join_crowd(me, target.path):
+            return Response(503, {"error": "too many connections"}, seconds(1), close=True)
+        request = Request(head.method.decode("ascii"), target.path, dict(parse_qsl(target.query)), body)
+        try:
+            return await self.handle(request)
+        except Exception:
+            # One bad request must not cost the others anything.
+            log.exception("while answering %s %s", request.method, request.path)
+            return again(503, seconds(1), "internal error")
 
 
 def _length(event: h11.Request) -> int:
@@ -181,6 +251,9 @@
 
 def _encode(conn: h11.Connection, response: Response) -> bytes:
     payload = b"" if response.body is None else cbor2.dumps(response.body)
+    if response.sure is not None and not response.sure():
+        response = UNSURE
+        payload = cbor2.dumps(response.body)
     after = response.retry_after
     retry = None if after is None else max(1, round(after.total_seconds()))
     head = conn.send(_head(response.status, len(payload), retry, response.close))
@@ -196,6 +269,10 @@
     """No usable answer: the request may or may not have been carried out."""
 
 
+class Withheld(NoAnswer):
+    """The request was not sent: right before, it was no longer right to send it."""
+
+
 @dataclass(slots=True)
 class Answer:
     status: int
@@ -205,7 +282,11 @@
 class Caller(Protocol):
     """What the slices need of an HTTP client; tests put stand-ins here."""
 
-    async def call(self, method: str, path: str, body: Any = None, *, timeout: timedelta) -> Answer: ...
+    async def call(
+        self, method: str, path: str, body: Any = None, *, timeout: timedelta, sure: Callable[[], bool] | None = None
+    ) -> Answer:
+        """`sure` is asked right before the request leaves."""
+        ...
 
 
 class Client:
@@ -217,15 +298,19 @@
         self._idle: list[tuple[asyncio.StreamReader, asyncio.StreamWriter, h11.Connection]] = []
         self._most_idle = most_idle
 
-    async def call(self, method: str, path: str, body: Any = None, *, timeout: timedelta) -> Answer:
+    async def call(
+        self, method: str, path: str, body: Any = None, *, timeout: timedelta, sure: Callable[[], bool] | None = None
+    ) -> Answer:
         payload = b"" if body is None else cbor2.dumps(body)
         try:
             async with asyncio.timeout(timeout.total_seconds()):
-                return await self._exchange(method, path, payload)
+                return await self._exchange(method, path, payload, sure)
         except (OSError, TimeoutError, EOFError, h11.ProtocolError, BadBody, asyncio.IncompleteReadError) as error:
             raise NoAnswer(f"{method} {path.split('?')[0]}: {error or type(error).__name__}") from error
 
-    async def _exchange(self, method: str, path: str, payload: bytes) -> Answer:
+    async def _exchange(
+        self, method: str, path: str, payload: bytes, sure: Callable[[], bool] | None
+    ) -> Answer:
         while True:
             if self._idle:
                 reader, writer, conn = self._idle.pop()
@@ -252,6 +337,8 @@
                 conn.send(h11.Data(data=payload)) if payload else b"",
                 conn.send(h11.EndOfMessage()),
             ]
+            if sure is not None and not sure():
+                raise Withheld(f"{method} {path}: no longer sure")
             writer.write(b"".join(part for part in parts if part))
             status = 0
             data = bytearray()
--- a/src/elmthread/common/tests/test_http.py
+++ b/src/elmthread/common/tests/test_http.py
@@ -8,7 +8,7 @@
 
 from elmthread.common import http
 from elmthread.common.clock import seconds
-from elmthread.common.http import Client, NoAnswer, Request, Response, Server
+from elmthread.common.http import Client, Crowd, NoAnswer, Request, Response, Server, Withheld
 
 
 def run(main: Coroutine[Any, Any, None]) -> None:
@@ -110,3 +110,63 @@
         await server.close()
 
     run(main())
+
+
+def test_what_is_no_longer_sure_does_not_leave() -> None:
+    """A process may stand still between making an answer, or a request, and sending it."""
+    served: list[str] = []
+
+    async def handle(request: Request) -> Response:
+        served.append(request.path)
+        return Response(200, {"state": "old"}, sure=lambda: request.path != "/unsure")
+
+    async def main() -> None:
+        server, port = await serving(handle)
+        client = Client(f"127.0.0.1:{port}")
+        assert (await client.call("GET", "/sure", timeout=seconds(5))).status == 200
+        answer = await client.call("GET", "/unsure", timeout=seconds(5))
+        assert answer.status == 503 and answer.body != {"state": "old"}
+        head = await raw(port, b"GET /unsure HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
+        assert b"retry-after: 1" in head.lower()
+        served.clear()
+        try:
+            await client.call("POST", "/rent", {}, timeout=seconds(5), sure=lambda: False)
+            raise AssertionError("sent all the same")
+        except Withheld:
+            pass
+        assert (await client.call("POST", "/rent", {}, timeout=seconds(5), sure=lambda: True)).status == 200
+        assert served == ["/rent"]
+        await server.close()
+
+    run(main())
+
+
+def test_a_crowd_leaves_sockets_to_the_others_and_its_dead_make_room() -> None:
+    async def main() -> None:
+        now = [seconds(0)]
+        server = Server(echo, 6, lambda: now[0], Crowd("/beat", 4, seconds(10)))
+        port = await server.start("127.0.0.1", 0)
+        clients = [Client(f"127.0.0.1:{port}") for _ in range(7)]
+
+        async def ask(number: int, path: str) -> int:
+            return (await clients[number].call("GET", path, timeout=seconds(5))).status
+
+        assert [await ask(number, "/beat") for number in range(4)] == [200] * 4
+        # A fifth is told to come again, and others find room all the same.
+        assert await ask(4, "/beat") == 503
+        assert [await ask(number, "/a") for number in (5, 6)] == [200] * 2
+        # Two fall silent; the others go on: the silent ones' places go to who comes.
+        now[0] = seconds(4)
+        assert [await ask(number, "/beat") for number in (0, 1)] == [200] * 2
+        now[0] = seconds(6)
+        assert await ask(4, "/beat") == 200
+        assert [await ask(number, "/beat") for number in (0, 1)] == [200] * 2
+        assert server._crowd == 4 and len(server._open) == 6
+        now[0] = seconds(20)
+        sweeper = asyncio.create_task(server.sweep())
+        await asyncio.sleep(2.2)
+        assert server._crowd == 0
+        sweeper.cancel()
+        await server.close()
+
+    run(main())
--- a/src/elmthread/controller.py
+++ b/src/elmthread/controller.py
@@ -8,10 +8,10 @@
 
 import msgspec
 
-from elmthread.agents.messages import elsewhere
+from elmthread.agents.messages import BEAT, elsewhere
 from elmthread.agents.service import Agents
 from elmthread.common.clock import Clock, seconds, steady
-from elmthread.common.http import Caller, Client, Request, Response, Server
+from elmthread.common.http import Caller, Client, Crowd, Request, Response, Server
 from elmthread.fleet.client import CloudClient
 from elmthread.fleet.messages import Type
 from elmthread.fleet.service import Fleet
@@ -53,6 +53,10 @@
 ATTEMPTS = 10_000_000
 # Parts of the state service's rates: the rest is for renewals and the other nodes.
 LEADERS_PART = 0.85
+# Sockets: what is not for those who call is for calls of our own and for the peers; workers
+# leave some of the rest to users, who must find one whatever the fleet does.
+SERVERS_PART = 0.9
+WORKERS_PART = 0.8
 OTHERS_PART = 0.1
 
 
@@ -111,7 +115,7 @@
         unsure_until = clock() + election.unaccounted_for(facts.workers.lease)
         self.fleet = Fleet(
             self.book,
-            CloudClient(cloud, calls),
+            CloudClient(cloud, calls, self.tenure.leads),
             self.writer,
             clock,
             facts.cloud.list_lag,
@@ -451,7 +455,9 @@
         links = {other.node: split_address(other.address) for other in platform.others}
         self.peers = peers(links, self._answer, lambda lead: self.election.hear(lead.token, lead.leader), self._say)
         self.api = Api(platform.node, self.election, self.peers, clock, self._intake, self._beat)
-        self.server = Server(self.api.handle, max(10, facts.limits.max_connections * 3 // 4), clock)
+        most = max(10, int(facts.limits.max_connections * SERVERS_PART))
+        workers = Crowd(BEAT, max(5, int(most * WORKERS_PART)), facts.workers.lease)
+        self.server = Server(self.api.handle, most, clock, workers)
         self.leader: Leader | None = None
         self._leading: asyncio.Task[None] | None = None
 
--- a/src/elmthread/fleet/client.py
+++ b/src/elmthread/fleet/client.py
@@ -1,6 +1,7 @@
 """The cloud met through its protocol, paced within its rate."""
 
 import logging
+from collections.abc import Callable
 from typing import Any, TypeVar
 
 import msgspec
@@ -28,27 +29,31 @@
 
 
 class CloudClient:
-    def __init__(self, caller: Caller, calls: Bucket) -> None:
+    def __init__(self, caller: Caller, calls: Bucket, sure: Callable[[], bool]) -> None:
         self._caller = caller
         self.calls = calls
+        # The cloud knows no leaders: what changes something is judged right before it leaves.
+        self._sure = sure
 
     async def types(self) -> list[messages.Type]:
         return _read(await self._call("GET", "/flavors"), messages.Types).types
 
     async def rent(self, name: str, build: str, zone: str, spot: bool, count: int) -> list[str]:
         body = messages.rental(name, build, zone, spot, min(count, MOST_RENTED))
-        return _read(await self._call("POST", "/hosts", body), messages.Rented).machines
+        return _read(await self._call("POST", "/hosts", body, self._sure), messages.Rented).machines
 
     async def delete(self, names: list[str]) -> None:
-        await self._call("POST", "/hosts/delete", messages.deletion(names))
+        await self._call("POST", "/hosts/delete", messages.deletion(names), self._sure)
 
     async def page(self, after: str | None, most: int = MOST_LISTED) -> messages.Page:
         since = "" if after is None else f"&since={after}"
         return _read(await self._call("GET", f"/hosts?most={most}{since}"), messages.Page)
 
-    async def _call(self, method: str, path: str, body: Any = None) -> Answer:
+    async def _call(
+        self, method: str, path: str, body: Any = None, sure: Callable[[], bool] | None = None
+    ) -> Answer:
         try:
-            answer = await self._caller.call(method, path, body, timeout=CALL_TIME)
+            answer = await self._caller.call(method, path, body, timeout=CALL_TIME, sure=sure)
         except NoAnswer as error:
             raise Trouble(str(error)) from error
         if answer.status == 429:
--- a/src/elmthread/fleet/service.py
+++ b/src/elmthread/fleet/service.py
@@ -29,6 +29,10 @@
 
 TICK = seconds(0.2)
 JUDGE_EVERY = seconds(0.5)
+# A process that has stood still for this long has reports waiting that it has not read: before
+# machines are judged by their silence, what they said is heard.
+STOOD_STILL = seconds(1.5)
+HEARING = seconds(1)
 # A machine that will be taken is deleted this long before: by then all on it has been saved.
 TAKEN = seconds(1)
 TYPES_EVERY = seconds(60)
@@ -120,7 +124,13 @@
     # The loop: one call to the cloud at a time is started each tick, the most pressing first
 
     async def run(self) -> None:
+        last = self._clock()
         while True:
+            now = self._clock()
+            if now - last > STOOD_STILL:
+                log.info("stood still for %.1f s", (now - last).total_seconds())
+                self._judged_at = now + HEARING
+            last = now
             if self._leads():
                 if self._due(self._judged_at, JUDGE_EVERY):
                     self._judged_at = self._clock()
@@ -247,7 +257,7 @@
             return
         order = Order(self._next_name(), kind, count, pool, self._clock())
         self.orders[order.name] = order
-        record = RentalRecord(kind.build, kind.zone, kind.spot, count, pool)
+        record = RentalRecord(kind.build, kind.zone, kind.spot, pool)
         log.info("renting %s %s", count, kind)
         self._writer.write(
             rental_key(order.name), Rank.ASSIGN, lambda: record, lambda: self._ready.append(order)
--- a/src/elmthread/intake/api.py
+++ b/src/elmthread/intake/api.py
@@ -6,8 +6,9 @@
 
 import msgspec
 
+from elmthread.agents.messages import BEAT
 from elmthread.common.clock import ZERO, Clock, seconds
-from elmthread.common.http import BadBody, Request, Response, again, decode
+from elmthread.common.http import UNSURE, BadBody, Request, Response, again, decode
 from elmthread.intake.messages import JOB_ID, BadRequest, job_id_of, read_submission
 from elmthread.intake.service import Intake
 from elmthread.leadership.election import Election
@@ -49,7 +50,7 @@
 
     async def handle(self, request: Request) -> Response:
         path, method = request.path, request.method
-        if path == "/agent/beat":
+        if path == BEAT:
             return await self._beat(request) if method == "POST" else _wrong_method()
         if path == "/ready":
             return self._ready() if method == "GET" else _wrong_method()
@@ -97,18 +98,31 @@
         leader = self._election.leader
         if leader is None or leader == self._node:
             return again(503, SOON, "no leader")
+        asked = self._clock()
+        ask.token = self._election.seen_token
         try:
             reply = await self._peers.ask(leader, ask, ASK_TIME[ask.verb])
         except NotReached:
             return again(503, SOON, "the leader does not answer")
+
+        def fresh() -> bool:
+            # Neither has this node stood still with the answer, nor is a newer leader known.
+            return self._clock() - asked <= ASK_TIME[ask.verb] and reply.token >= self._election.seen_token
+
         after = None if reply.retry_after_s is None else seconds(reply.retry_after_s)
-        return Response(reply.status, reply.body, after)
+        return Response(reply.status, reply.body, after, sure=None if reply.status == 503 else fresh)
 
     async def _here(self, ask: Ask) -> Response:
         """Answers as the leader, with a view that is complete and a lease that surely holds."""
         intake = self._intake()
         if intake is None or not self._election.leads():
             return again(503, SOON, "not leading")
+        response = await self._from(intake, ask)
+        if response.status != 503:
+            response.sure = intake.sure
+        return response
+
+    async def _from(self, intake: Intake, ask: Ask) -> Response:
         if ask.verb == "submit":
             job = None
             if ask.body is not None:
@@ -124,10 +138,16 @@
         return Response(400, {"error": "unknown request"})
 
     async def answer(self, ask: Ask) -> Reply:
-        """A question that came over the peer link."""
-        response = await self._here(ask)
-        after = response.retry_after
-        return Reply(ask.number, response.status, response.body, None if after is None else after.total_seconds())
+        """A question that came over the peer link, for the leadership that the asker knows."""
+        intake = self._intake()
+        if intake is None or ask.token != intake.token:
+            response = again(503, SOON, "not leading")
+        else:
+            response = await self._here(ask)
+            if response.sure is not None and not response.sure():
+                response = UNSURE
+        after = None if response.retry_after is None else response.retry_after.total_seconds()
+        return Reply(ask.number, response.status, response.body, after, ask.token)
 
 
 def _wrong_method() -> Response:
--- a/src/elmthread/intake/service.py
+++ b/src/elmthread/intake/service.py
@@ -48,6 +48,14 @@
         # Submissions and withdrawals on their way to the store, by job.
         self._storing: dict[str, asyncio.Task[None]] = {}
 
+    @property
+    def token(self) -> int:
+        return self._tenure.token
+
+    def sure(self) -> bool:
+        """Asked right before an answer leaves."""
+        return self._tenure.leads()
+
     async def submit(self, job_id: str, job: Submission | None, fault: str | None) -> Response:
         known = self._book.jobs.get(job_id)
         if known is None:
--- a/src/elmthread/ledger/log.py
+++ b/src/elmthread/ledger/log.py
@@ -101,7 +101,7 @@
         return self._texts.get(key, "null") != "null"
 
     def take(self) -> Slot:
-        """A slot that may be written over; `written` or `returned` must follow."""
+        """A slot that may be written over; `written` must follow."""
         if self._free:
             slot = self._free.pop()
         else:
@@ -110,10 +110,6 @@
         self._taken.add(slot.key)
         return slot
 
-    def returned(self, slot: Slot) -> None:
-        self._taken.discard(slot.key)
-        self._free.append(slot)
-
     def written(self, slot: Slot, stamp: int, texts: dict[str, str]) -> None:
         self._taken.discard(slot.key)
         self._put(slot, stamp, texts)
--- a/src/elmthread/ledger/records.py
+++ b/src/elmthread/ledger/records.py
@@ -71,7 +71,6 @@
     build: str
     zone: str
     spot: bool
-    count: int
     pool: bool = False
 
 
--- a/src/elmthread/peers/link.py
+++ b/src/elmthread/peers/link.py
@@ -49,19 +49,40 @@
 Say = Callable[[], Lead]
 
 
-async def _frames(reader: asyncio.StreamReader, got: Callable[[Message], None], limit: timedelta) -> None:
-    """Hands each message on until the other side closes, sends rubbish or falls silent."""
+class Dropped:
+    """Counts frames that can't be read: one is an accident, many are a fault on the other side."""
+
+    def __init__(self) -> None:
+        self.count = 0
+
+    def note(self, who: str, error: Exception) -> None:
+        self.count += 1
+        log.warning("frame from %s dropped (%s so far): %s", who, self.count, error)
+
+
+async def _frames(
+    reader: asyncio.StreamReader, who: str, got: Callable[[Message], None], limit: timedelta, dropped: Dropped
+) -> None:
+    """Hands each message on until the other side closes, falls silent or sends what is no frame.
+
+    A frame that is none, or is too long, ends the link: where the next one starts is not known.
+    """
     decoder = pynetstring.Decoder(MAX_FRAME)
     while True:
         async with asyncio.timeout(limit.total_seconds()):
             data = await reader.read(65536)
         if not data:
             return
-        for frame in decoder.feed(data):
+        try:
+            frames = decoder.feed(data)
+        except pynetstring.ParseError as error:
+            dropped.note(who, error)
+            return
+        for frame in frames:
             try:
                 message = decode(frame)
             except msgspec.MsgspecError as error:
-                log.error("peer message dropped: %s", error)
+                dropped.note(who, error)
                 continue
             got(message)
 
@@ -69,8 +90,9 @@
 class Link:
     """Our connection to one other node."""
 
-    def __init__(self, node: str, host: str, port: int, hear: Hear, say: Say) -> None:
+    def __init__(self, node: str, host: str, port: int, hear: Hear, say: Say, dropped: Dropped) -> None:
         self.node = node
+        self._dropped = dropped
         self._host, self._port = host, port
         self._hear = hear
         self._say = say
@@ -96,8 +118,8 @@
             self._move(LinkState.UP)
             self.tell()
             try:
-                await _frames(reader, self._got, SILENCE)
-            except (OSError, TimeoutError, pynetstring.ParseError) as error:
+                await _frames(reader, self.node, self._got, SILENCE, self._dropped)
+            except (OSError, TimeoutError) as error:
                 log.info("link to %s: %s", self.node, error or type(error).__name__)
             finally:
                 self._writer = None
@@ -145,7 +167,10 @@
         self._answer = answer
         self._hear = hear
         self._say = say
-        self._links = {node: Link(node, host, port, hear, say) for node, (host, port) in links.items()}
+        self.dropped = Dropped()
+        self._links = {
+            node: Link(node, host, port, hear, say, self.dropped) for node, (host, port) in links.items()
+        }
         self._busy: set[asyncio.Task[None]] = set()
         self._in: set[asyncio.StreamWriter] = set()
         self._server: asyncio.Server | None = None
@@ -194,8 +219,8 @@
 
         self._in.add(writer)
         try:
-            await _frames(reader, got, seconds(60))
-        except (OSError, TimeoutError, pynetstring.ParseError) as error:
+            await _frames(reader, "a node that called", got, seconds(60), self.dropped)
+        except (OSError, TimeoutError) as error:
             log.info("incoming link: %s", error or type(error).__name__)
         finally:
             self._in.discard(writer)
--- a/src/elmthread/peers/messages.py
+++ b/src/elmthread/peers/messages.py
@@ -18,6 +18,8 @@
     number: int
     verb: str
     job_id: str
+    # The leadership that is asked; any other one would answer from another view.
+    token: int = 0
     body: dict[str, Any] | None = None
     # Why the body is no submission; the leader says so only if it does not know the job.
     fault: str | None = None
@@ -28,6 +30,8 @@
     status: int
     body: dict[str, Any] | None = None
     retry_after_s: float | None = None
+    # The leadership that answers, as far as one does.
+    token: int = 0
 
 
 Message = Lead | Ask | Reply
--- a/tests/test_world.py
+++ b/tests/test_world.py
@@ -226,6 +226,8 @@
     "reborn",
     "back",
     "twice",
+    "still",
+    "still_all",
 ]
 
 
@@ -334,6 +336,11 @@
     elif kind == "twice" and world.controllers:
         for port in world.ports[rng.choice(list(world.controllers))]:
             port.trouble.twice = 0.5
+    elif kind in ("still", "still_all") and world.controllers:
+        names = list(world.controllers)
+        seconds = rng.choice([rng.uniform(0.5, 4.5), rng.uniform(4.5, 30.0)])
+        for name in names if kind == "still_all" else [rng.choice(names)]:
+            world.loop.create_task(world.stand_still(name, seconds))
     elif kind == "burst":
         number = rng.randint(100, 999_999)
         spec = job(number, crew="red", urgency="high", pieces=6, cpus=2.0)
@@ -351,6 +358,8 @@
     world.copies = 0.0
     world.deaf.clear()
     world.apart.clear()
+    for name in list(world.loop.still):
+        world.loop.go_on(name)
     world.store.outage(False)
     for name in NODES:
         if name not in world.controllers:
