Overload refuses by kind: decisions, submissions, questions; never leases, readiness, reports

How late timers fire for three ticks in a row now refuses kinds of work in a fixed order, at once and with Retry-After; queues of users' requests are bounded by their sockets, with a line in the log. One long step or a standstill refuses nothing.

--- /dev/null
+++ b/src/elmthread/common/load.py
@@ -0,0 +1,63 @@
+"""How far a node has fallen behind, and what it refuses for that, the least needed first.
+
+A node with too little processor answers late, and late answers are worth nothing: users and
+workers have given up by then and ask again, which makes it worse. So some kinds of work are
+refused at once while the loop is behind. Renewals of the lease, readiness and workers'
+reports are never refused.
+"""
+
+import asyncio
+import logging
+from collections import deque
+from datetime import timedelta
+from enum import IntEnum
+
+from elmthread.common.clock import ZERO, Clock, seconds
+
+log = logging.getLogger(__name__)
+
+TICK = seconds(0.1)
+
+
+class Kind(IntEnum):
+    """What may be refused, in this order."""
+
+    DECIDING = 0
+    SUBMITTING = 1
+    ASKING = 2
+
+
+# Behind by this much, the kind is refused. Users wait 5 s for a submission and 2 s for a poll,
+# and part of that has gone by in the queue already.
+BOUNDS = {Kind.DECIDING: seconds(0.5), Kind.SUBMITTING: seconds(1), Kind.ASKING: seconds(1.5)}
+# One long step, or a standstill, is over when it is seen; only what lasts is overload.
+LASTING = 3
+
+
+class Load:
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._late: deque[timedelta] = deque([ZERO] * LASTING, maxlen=LASTING)
+        self._told: Kind | None = None
+
+    async def run(self) -> None:
+        while True:
+            began = self._clock()
+            await asyncio.sleep(TICK.total_seconds())
+            self.note(self._clock() - began - TICK)
+
+    def note(self, late: timedelta) -> None:
+        """A timer has fired this late."""
+        self._late.append(late)
+        refused = max((kind for kind in Kind if self.refuses(kind)), default=None)
+        if refused is not self._told:
+            self._told = refused
+            what = "nothing is refused" if refused is None else f"{refused.name.lower()} and less is refused"
+            log.info("%.1f s behind: %s", self.behind.total_seconds(), what)
+
+    @property
+    def behind(self) -> timedelta:
+        return min(self._late)
+
+    def refuses(self, kind: Kind) -> bool:
+        return self.behind > BOUNDS[kind]
--- a/src/elmthread/controller.py
+++ b/src/elmthread/controller.py
@@ -12,6 +12,7 @@
 from elmthread.agents.service import Agents
 from elmthread.common.clock import Clock, seconds, steady
 from elmthread.common.http import Caller, Client, Crowd, Request, Response, Server
+from elmthread.common.load import Kind, Load
 from elmthread.fleet.client import CloudClient
 from elmthread.fleet.messages import Type
 from elmthread.fleet.service import Fleet
@@ -44,6 +45,8 @@
 CANCEL_SLACK = seconds(4)
 ROUND = seconds(0.1)
 GATHER = seconds(0.5)
+# Rounds of decisions that overload puts off at most, before one is made all the same.
+MOST_PUT_OFF = 20
 # A round of decisions that takes this long is told of in the log.
 SLOW = seconds(0.3)
 PAGE = 400
@@ -60,6 +63,11 @@
 OTHERS_PART = 0.1
 
 
+def users_at_once(platform: Platform) -> int:
+    """Requests of users that may wait here: about as many as their sockets, so others get answers."""
+    return max(10, int(platform.facts.limits.max_connections * SERVERS_PART * (1 - WORKERS_PART)))
+
+
 def holding_time(platform: Platform) -> timedelta:
     """How long workers may be answered on a lease that is no longer sure."""
     workers = platform.facts.workers
@@ -77,8 +85,10 @@
         state: StateClient,
         cloud: Caller,
         clock: Clock,
+        load: Load,
         token: int,
     ) -> None:
+        self._load = load
         self._platform = platform
         self._operators = operators
         self.tenure = Tenure(election, token)
@@ -135,6 +145,7 @@
             self._can_run,
             lambda: bool(self.fleet.types),
             self.accepted,
+            users_at_once(platform),
         )
         self.agents = Agents(
             self.book,
@@ -373,11 +384,19 @@
             except TimeoutError:
                 pass
             self._change.clear()
+            await self._time_to_decide()
             began = self._clock()
             if self.tenure.leads():
                 self.placement.round()
             await asyncio.sleep(self._pause(ROUND, began))
 
+    async def _time_to_decide(self) -> None:
+        """Decisions wait while there is not even time for answers, though not for ever."""
+        for _ in range(MOST_PUT_OFF):
+            if not self._load.refuses(Kind.DECIDING):
+                return
+            await asyncio.sleep(ROUND.total_seconds())
+
     def _pause(self, least: timedelta, began: timedelta) -> float:
         """However much there is to decide, most of the processor is left to everything else."""
         took = self._clock() - began
@@ -388,6 +407,7 @@
     async def _size(self) -> None:
         while True:
             self._shortfall.clear()
+            await self._time_to_decide()
             began = self._clock()
             if self.tenure.leads():
                 self.sizing.round()
@@ -453,8 +473,15 @@
             platform.node, self._state, clock, LEASE, holding_time(platform), self._won, self._lost
         )
         links = {other.node: split_address(other.address) for other in platform.others}
-        self.peers = peers(links, self._answer, lambda lead: self.election.hear(lead.token, lead.leader), self._say)
-        self.api = Api(platform.node, self.election, self.peers, clock, self._intake, self._beat)
+        self.peers = peers(
+            links,
+            self._answer,
+            lambda lead: self.election.hear(lead.token, lead.leader),
+            self._say,
+            users_at_once(platform),
+        )
+        self.load = Load(clock)
+        self.api = Api(platform.node, self.election, self.peers, clock, self._intake, self._beat, self.load)
         most = max(10, int(facts.limits.max_connections * SERVERS_PART))
         workers = Crowd(BEAT, max(5, int(most * WORKERS_PART)), facts.workers.lease)
         self.server = Server(self.api.handle, most, clock, workers)
@@ -465,7 +492,7 @@
         rps = self._platform.facts.state.rps
         self._requests.rate, self._requests.burst = rps * LEADERS_PART, rps * LEADERS_PART
         self.leader = Leader(
-            self._platform, self._operators, self.election, self._state, self._cloud, self._clock, token
+            self._platform, self._operators, self.election, self._state, self._cloud, self._clock, self.load, token
         )
         self._leading = asyncio.get_running_loop().create_task(self._lead(self.leader))
         self.peers.tell()
@@ -514,6 +541,7 @@
         host, port = split_address(platform.listen)
         await self.server.start(host, port)
         async with asyncio.TaskGroup() as group:
+            group.create_task(self.load.run())
             group.create_task(self.server.sweep())
             group.create_task(self.peers.run(*split_address(platform.peer_listen)))
             group.create_task(self.election.run())
--- a/src/elmthread/intake/api.py
+++ b/src/elmthread/intake/api.py
@@ -9,6 +9,7 @@
 from elmthread.agents.messages import BEAT
 from elmthread.common.clock import ZERO, Clock, seconds
 from elmthread.common.http import UNSURE, BadBody, Request, Response, again, decode
+from elmthread.common.load import Kind, Load
 from elmthread.intake.messages import JOB_ID, BadRequest, job_id_of, read_submission
 from elmthread.intake.service import Intake
 from elmthread.leadership.election import Election
@@ -20,12 +21,16 @@
 SOON = seconds(1)
 # Users wait 5 s for a submission and 2 s for a poll; the answer must be on its way before.
 ASK_TIME = {"submit": seconds(4), "withdraw": seconds(4), "status": seconds(1.5)}
+# What a node that has fallen behind refuses, and with what: the protocol's word for too much.
+KINDS = {"submit": Kind.SUBMITTING, "withdraw": Kind.ASKING, "status": Kind.ASKING}
 # A node that knows a leader it can't reach leaves users to nodes that can, after this time.
 CUT_OFF = seconds(4)
 # Where nobody leads, no node is better than another: users are told at once when to come
 # back, and a node taken out of service would be missing for a while after the trouble ends.
 VACANT = seconds(60)
 
+TOO_MUCH = again(429, seconds(2), "too much to do")
+
 Beat = Callable[[Request], Awaitable[Response]]
 
 
@@ -38,7 +43,9 @@
         clock: Clock,
         intake: Callable[[], Intake | None],
         beat: Beat,
+        load: Load,
     ) -> None:
+        self._load = load
         self._node = node
         self._election = election
         self._peers = peers
@@ -93,6 +100,8 @@
         return await self._ask(Ask(0, verb, job_id))
 
     async def _ask(self, ask: Ask) -> Response:
+        if self._load.refuses(KINDS[ask.verb]):
+            return TOO_MUCH
         if self._intake() is not None:
             return await self._here(ask)
         leader = self._election.leader
@@ -140,7 +149,9 @@
     async def answer(self, ask: Ask) -> Reply:
         """A question that came over the peer link, for the leadership that the asker knows."""
         intake = self._intake()
-        if intake is None or ask.token != intake.token:
+        if ask.verb in KINDS and self._load.refuses(KINDS[ask.verb]):
+            response = TOO_MUCH
+        elif intake is None or ask.token != intake.token:
             response = again(503, SOON, "not leading")
         else:
             response = await self._here(ask)
--- a/src/elmthread/intake/service.py
+++ b/src/elmthread/intake/service.py
@@ -22,7 +22,6 @@
 DURABLE_TIME = seconds(3.5)
 # The store has not taken a change for this long: say so at once instead of waiting.
 FAILING = seconds(1)
-MOST_WAITING = 400
 
 
 class Intake:
@@ -36,7 +35,9 @@
         can_run: Callable[[Submission], str | None],
         types_known: Callable[[], bool],
         changed: Callable[[], None],
+        most_waiting: int,
     ) -> None:
+        self._most_waiting = most_waiting
         self._book = book
         self._tenure = tenure
         self._writer = writer
@@ -86,7 +87,8 @@
         failing = self._writer.failing_since
         if failing is not None and self._clock() - failing > FAILING:
             return again(503, seconds(2), "the state service does not answer")
-        if len(self._storing) >= MOST_WAITING:
+        if len(self._storing) >= self._most_waiting:
+            log.info("%s submissions and withdrawals wait for the store: no more are taken", len(self._storing))
             return again(429, seconds(2), "too many submissions at once")
         return None
 
--- a/src/elmthread/peers/link.py
+++ b/src/elmthread/peers/link.py
@@ -22,7 +22,6 @@
 MAX_FRAME = 256 * 1024
 CONNECT_TIME = seconds(1)
 REDIAL = seconds(0.5)
-MOST_ASKS = 256
 SAY_EVERY = seconds(1)
 # A link on which the other side has said nothing for this long is taken for dead.
 SILENCE = seconds(4)
@@ -90,8 +89,9 @@
 class Link:
     """Our connection to one other node."""
 
-    def __init__(self, node: str, host: str, port: int, hear: Hear, say: Say, dropped: Dropped) -> None:
+    def __init__(self, node: str, host: str, port: int, hear: Hear, say: Say, dropped: Dropped, most: int) -> None:
         self.node = node
+        self._most = most
         self._dropped = dropped
         self._host, self._port = host, port
         self._hear = hear
@@ -144,7 +144,10 @@
             self._hear(message)
 
     async def ask(self, ask: Ask, timeout: timedelta) -> Reply:
-        if self._writer is None or len(self._asked) >= MOST_ASKS:
+        if self._writer is None:
+            raise NotReached(self.node)
+        if len(self._asked) >= self._most:
+            log.info("%s questions to %s wait for an answer: no more are asked", len(self._asked), self.node)
             raise NotReached(self.node)
         self._number += 1
         ask.number = self._number
@@ -163,13 +166,17 @@
 class Peers:
     """All links of this node, and the side that listens."""
 
-    def __init__(self, links: dict[str, tuple[str, int]], answer: Answerer, hear: Hear, say: Say) -> None:
+    def __init__(
+        self, links: dict[str, tuple[str, int]], answer: Answerer, hear: Hear, say: Say, most: int = 256
+    ) -> None:
+        """`most` questions may wait for an answer on each link, and here for all of them."""
+        self._most = most
         self._answer = answer
         self._hear = hear
         self._say = say
         self.dropped = Dropped()
         self._links = {
-            node: Link(node, host, port, hear, say, self.dropped) for node, (host, port) in links.items()
+            node: Link(node, host, port, hear, say, self.dropped, most) for node, (host, port) in links.items()
         }
         self._busy: set[asyncio.Task[None]] = set()
         self._in: set[asyncio.StreamWriter] = set()
@@ -210,7 +217,8 @@
             if isinstance(message, Lead):
                 self._hear(message)
             elif isinstance(message, Ask):
-                if len(self._busy) >= MOST_ASKS:
+                if len(self._busy) >= self._most:
+                    log.info("%s questions of peers wait for an answer: no more are taken", len(self._busy))
                     self._send(writer, Reply(message.number, 503, {"error": "busy"}, 1.0))
                     return
                 task = asyncio.get_running_loop().create_task(self._reply(message, writer))
--- a/tests/test_troubles.py
+++ b/tests/test_troubles.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from elmthread.common.clock import seconds
 from elmthread.placement.book import Machine
 from tests.test_world import day, set_apart, start
 from tests.world.world import World, job
@@ -386,8 +387,8 @@
 # A controller stands still, its clocks run on
 
 
-@pytest.mark.parametrize("seconds", [1.0, 2.6, 3.3, 4.4, 12.0, 28.0])
-def test_leader_that_stood_still_says_and_does_nothing_of_what_it_had_decided(seconds: float) -> None:
+@pytest.mark.parametrize("still", [1.0, 2.6, 3.3, 4.4, 12.0, 28.0])
+def test_leader_that_stood_still_says_and_does_nothing_of_what_it_had_decided(still: float) -> None:
     """In the middle of answers, records, rentals and forwarded questions, with all that goes on."""
 
     async def script(world: World) -> None:
@@ -403,12 +404,12 @@
         withdrawn = asyncio.create_task(world.withdraw(ids[0]))
         await asyncio.sleep(world.rng.uniform(0.0, 0.1))
         stood = world.loop.now
-        await world.stand_still(name, seconds)
-        if seconds > 4:
+        await world.stand_still(name, still)
+        if still > 4:
             assert world.leader is not None and world.leader is not old
         await asyncio.gather(*asking)
         await asyncio.sleep(2)
-        if seconds > 4:
+        if still > 4:
             # It has noticed, and a newer leadership is all that anybody hears of.
             tokens = {controller.election.seen_token for controller in world.controllers.values()}
             assert len(tokens) == 1 and old.leader is None
@@ -420,3 +421,43 @@
 
     for seed in range(4):
         day(script, seed=seed)
+
+
+# Too much to do
+
+
+def test_overload_refuses_users_by_kind_and_never_readiness_or_workers() -> None:
+    async def script(world: World) -> None:
+        assert await world.submit(job(1, pieces=30, true_s=60.0, expected_s=60.0))
+        await asyncio.sleep(8)
+        running = sorted(world.rules.where)
+        assert running and world.leader is not None
+        leader = world.leader.api._node
+        other = next(node for node in world.nodes if node != leader)
+
+        def behind(node: str, late: float) -> None:
+            for _ in range(10):
+                world.controllers[node].load.note(seconds(late))
+
+        async def answers(node: str) -> list[int]:
+            submitted = await world.ask("POST", "/submissions", job(1), node=node)
+            polled = await world.ask("GET", "/submissions/run-000001", node=node)
+            assert all(one.status == 200 or one.retry_after for one in (submitted, polled))
+            ready = await world.ask("GET", "/ready", node=node)
+            return [submitted.status, polled.status, ready.status]
+
+        assert await answers(other) == [200, 200, 200]
+        behind(leader, 1.2)
+        assert await answers(other) == [429, 200, 200]
+        behind(leader, 3.0)
+        assert await answers(leader) == [429, 429, 200]
+        assert await answers(other) == [429, 429, 200]
+        # Longer than a worker's lease: none of the tasks is lost for it.
+        await asyncio.sleep(14)
+        assert set(running) <= set(world.rules.where)
+        behind(leader, 0.0)
+        assert await answers(other) == [200, 200, 200]
+        assert (await world.until_over(["run-000001"], 150)) == {"run-000001": "done"}
+
+    world = day(script)
+    assert max(world.rules.starts.values()) == 1
