--- /dev/null
+++ b/src/elmthread/intake/tests/test_service.py
@@ -0,0 +1,128 @@
+"""What users are told, with a store that stalls, refuses and recovers."""
+
+import asyncio
+from collections.abc import Callable, Coroutine
+from datetime import UTC, datetime, timedelta
+from typing import Any
+
+from elmthread.common.clock import seconds
+from elmthread.common.http import Response
+from elmthread.intake.messages import Submission, read_submission
+from elmthread.intake.service import DURABLE_TIME, Intake
+from elmthread.ledger.writer import Rank
+from elmthread.placement.book import Book, Job, JobState
+from tests.world.loop import SimLoop, play
+from tests.world.world import job as wire
+
+
+class Store:
+    """A writer that makes nothing durable until it is told to."""
+
+    def __init__(self) -> None:
+        self.waiting: list[tuple[Callable[[], Any], Callable[[], None], asyncio.Event]] = []
+        self.failing_since: timedelta | None = None
+
+    async def written(self, key: str, rank: Rank, make: Callable[[], Any], after: Callable[[], None]) -> None:
+        event = asyncio.Event()
+        self.waiting.append((make, after, event))
+        await event.wait()
+
+    def take(self) -> None:
+        for make, after, event in self.waiting:
+            make()
+            after()
+            event.set()
+        self.waiting.clear()
+
+
+class Lease:
+    token = 7
+
+    def __init__(self) -> None:
+        self.sure = True
+
+    def leads(self) -> bool:
+        return self.sure
+
+
+def intake(most: int = 5) -> tuple[SimLoop, Store, Lease, Intake]:
+    loop, store, lease = SimLoop(), Store(), Lease()
+    asyncio.set_event_loop(loop)
+
+    def new_job(spec: Submission, since: timedelta) -> Job:
+        return Job(spec, datetime.now(UTC), since, seconds(60), 1.5, False, 64)
+
+    one = Intake(
+        Book(100),
+        lease,  # type: ignore[arg-type]
+        store,  # type: ignore[arg-type]
+        loop.clock,
+        new_job,
+        lambda spec: "unknown team" if spec.team == "green" else None,
+        lambda: True,
+        lambda: None,
+        most,
+    )
+    return loop, store, lease, one
+
+
+def submit(one: Intake, number: int) -> Coroutine[Any, Any, Response]:
+    spec = read_submission(wire(number))
+    return one.submit(spec.id, spec, None)
+
+
+def test_nothing_is_told_before_it_is_durable_and_nothing_durable_is_denied() -> None:
+    loop, store, lease, one = intake()
+
+    async def main() -> None:
+        first = asyncio.create_task(submit(one, 1))
+        await asyncio.sleep(0.1)
+        # Neither known nor unknown, to the same user or to any other.
+        assert one.status("run-000001").status == 503
+        assert one.status("run-000002").status == 404
+        began = loop.now
+        response = await first
+        assert response.status == 503 and response.retry_after and loop.now - began < DURABLE_TIME.total_seconds() + 0.1
+        store.take()
+        await asyncio.sleep(0)
+        assert (await submit(one, 1)).status == 200
+        assert one.status("run-000001").status == 200
+        # A withdrawal is told once that is durable; until then the job is neither.
+        ending = asyncio.create_task(one.withdraw("run-000001"))
+        await asyncio.sleep(0.1)
+        assert one.status("run-000001").body["status"] == "queued"
+        store.take()
+        assert (await ending).body["status"] == "cancelled"
+        assert one.status("run-000001").body["status"] == "cancelled"
+        # Not sure of its lease: it says nothing, though it knows.
+        lease.sure = False
+        assert (await submit(one, 1)).status == 503 and (await one.withdraw("run-000001")).status == 503
+
+    play(main(), loop)
+
+
+def test_what_cannot_be_taken_is_answered_at_once() -> None:
+    loop, store, _, one = intake(most=5)
+
+    async def main() -> None:
+        waiting = [asyncio.create_task(submit(one, number)) for number in range(5)]
+        await asyncio.sleep(0.01)
+        began = loop.now
+        more = await submit(one, 9)
+        assert more.status == 429 and more.retry_after and one.status("run-000009").status == 404
+        store.take()
+        assert {(await task).status for task in waiting} == {201}
+        assert one.status("run-000003").body["status"] == "queued"
+        store.failing_since = loop.clock() - seconds(1.5)
+        refused = await submit(one, 10)
+        assert refused.status == 503 and refused.retry_after
+        assert (await one.withdraw("run-000003")).status == 503
+        # What was not taken has changed nothing.
+        assert one.status("run-000003").body["status"] == "queued" and not store.waiting
+        spec = read_submission(wire(11, crew="green"))
+        assert (await one.submit(spec.id, spec, None)).status == 422
+        assert (await one.submit("run-000012", None, "cpus: missing")).status == 400
+        assert loop.now - began < 0.01
+        assert one._book.jobs["run-000003"].state is JobState.OPEN
+
+    play(main(), loop)
--- /dev/null
+++ b/src/elmthread/leadership/tests/test_election.py
@@ -0,0 +1,128 @@
+"""The leader's lease: every state with every event, against a plain table."""
+
+import asyncio
+from collections.abc import Callable, Coroutine
+from datetime import timedelta
+from itertools import product
+from typing import Any
+
+import pytest
+
+from elmthread.common.clock import seconds
+from elmthread.common.http import Answer, NoAnswer
+from elmthread.leadership.election import Election, Role, Tenure
+from elmthread.ledger.client import StateClient
+from elmthread.ledger.pacing import Bucket
+from tests.world.loop import SimLoop, play
+
+TTL, HOLDING, TOKEN = seconds(3), seconds(10), 20
+F, L, H = Role.FOLLOWER, Role.LEADING, Role.HOLDING
+
+
+class Renewals:
+    """The state service, as far as a leader that keeps its lease meets it."""
+
+    def __init__(self, loop: SimLoop, answer: int) -> None:
+        self.loop, self.answer = loop, answer
+        self.asked: list[str] = []
+
+    async def call(
+        self, method: str, path: str, body: Any = None, *, timeout: timedelta, sure: Callable[[], bool] | None = None
+    ) -> Answer:
+        self.asked.append(method)
+        await asyncio.sleep(0.01)
+        if not self.answer:
+            raise NoAnswer("cut")
+        return Answer(self.answer, {})
+
+
+def made(role: Role, answer: int = 200) -> tuple[SimLoop, Election, Renewals]:
+    loop = SimLoop()
+    asyncio.set_event_loop(loop)
+    caller = Renewals(loop, answer)
+    client = StateClient(caller, Bucket(100, 100, loop.clock))
+    election = Election("a", client, loop.clock, TTL, HOLDING, lambda token: None, lambda: None)
+    if role is not F:
+        election.token = election.seen_token = TOKEN
+        election.leader = "a"
+        election._sure_until = loop.clock() + TTL
+        election._move(L)
+    if role is H:
+        loop.now = 4.0
+        assert not election.leads()
+    return loop, election, caller
+
+
+# What becomes of each state: time passes within the sure time, past it, past the holding time;
+# an older, the own and a newer leadership are heard of; leadership is given up.
+EVENTS: dict[str, tuple[Callable[[SimLoop, Election], object], dict[Role, Role]]] = {
+    "asked now": (lambda loop, one: one.answers_workers(), {F: F, L: L, H: H}),
+    "past the sure time": (lambda loop, one: _later(loop, one, 5.0), {F: F, L: H, H: H}),
+    "past the holding time": (lambda loop, one: _later(loop, one, 20.0), {F: F, L: F, H: F}),
+    "an older leadership": (lambda loop, one: one.hear(TOKEN - 1, "b"), {F: F, L: L, H: H}),
+    "its own leadership": (lambda loop, one: one.hear(TOKEN, "a"), {F: F, L: L, H: H}),
+    "a newer leadership": (lambda loop, one: one.hear(TOKEN + 1, "b"), {F: F, L: F, H: F}),
+    "a newer token, no name": (lambda loop, one: one.hear(TOKEN + 1, None), {F: F, L: F, H: F}),
+    "given up": (lambda loop, one: one.step_down("told to"), {F: F, L: F, H: F}),
+}
+
+
+def _later(loop: SimLoop, election: Election, now: float) -> None:
+    loop.now = now
+    election.answers_workers()
+
+
+@pytest.mark.parametrize(("role", "event"), product(Role, EVENTS))
+def test_every_state_with_every_event(role: Role, event: str) -> None:
+    loop, election, _ = made(role)
+    act, after = EVENTS[event]
+    act(loop, election)
+    assert election.role is after[role]
+    # Whatever happens, it acts as leader in LEADING alone and answers workers in no other but HOLDING.
+    assert election.leads() == (after[role] is L)
+    assert election.answers_workers() == (after[role] is not F)
+    assert Tenure(election, TOKEN).leads() == (after[role] is L)
+    # An earlier leadership of the same node never speaks for this one.
+    assert not Tenure(election, TOKEN - 1).leads() and not Tenure(election, TOKEN - 1).answers_workers()
+    loop.close()
+
+
+@pytest.mark.parametrize(
+    ("role", "answer", "after"),
+    [(L, 200, L), (H, 200, L), (L, 404, F), (H, 404, F), (L, 503, H), (H, 503, H), (L, 0, H), (H, 0, H)],
+)
+def test_every_state_with_every_answer_to_a_renewal(role: Role, answer: int, after: Role) -> None:
+    """200: kept, and sure again; 404: ended; refused or no answer: not sure once the time is over."""
+    loop, election, caller = made(role, answer)
+
+    async def main() -> None:
+        keeping = asyncio.create_task(election._keep(7))
+        await asyncio.sleep(4)
+        election.leads()
+        assert election.role is after
+        keeping.cancel()
+
+    play(main(), loop)
+    # A lease that is over is given back, and only that.
+    assert caller.asked.count("DELETE") == (after is F)
+
+
+@pytest.mark.parametrize("still", [2.0, 4.0, 20.0])
+def test_a_renewal_answered_after_a_standstill_counts_from_before_it_was_sent(still: float) -> None:
+    loop, election, caller = made(L)
+
+    def main() -> Coroutine[Any, Any, None]:
+        async def run() -> None:
+            keeping = asyncio.create_task(election._keep(7))
+            await asyncio.sleep(0.005)
+            # The renewal is under way; its answer is read only after the standstill.
+            loop.now += still
+            asked = len(caller.asked)
+            await asyncio.sleep(0.01)
+            assert len(caller.asked) >= asked
+            assert election.leads() == (still < TTL.total_seconds())
+            keeping.cancel()
+
+        return run()
+
+    play(main(), loop)
