--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -5,7 +5,7 @@
 from typing import Any
 
 from elmthread.placement import decide
-from tests.test_world import day
+from tests.test_world import day, start
 from tests.world.world import World, job
 
 MACHINES = 300
@@ -70,3 +70,52 @@
     # The rate with its burst, and the other nodes' share.
     assert max(changes.values()) <= 30 * 2
     assert looks < 10 * tasks, looks / tasks
+
+
+def test_everything_back_at_once_and_a_second_time_before_the_first_is_over() -> None:
+    """All workers and all controllers restart, in an outage and in the middle of the election after it."""
+
+    async def script(world: World) -> None:
+        for index in range(MACHINES):
+            world.rent("small" if index % 3 else "large", ["east", "north", "west"][index % 3], spot=bool(index % 5))
+        await asyncio.sleep(2)
+        ids = []
+        for number in range(30):
+            crew, pieces = ("red", 6) if number % 9 == 0 else ("blue", 60)
+            spec = job(number, crew=crew, pieces=pieces, true_s=20.0, expected_s=20.0)
+            assert await world.submit(spec)
+            ids.append(spec["name_id"])
+        await asyncio.sleep(10)
+        assert len(world.rules.where) > 1000
+        for turn in range(2):
+            world.store.outage(True)
+            for node in list(world.controllers):
+                world.kill(node)
+            for index, worker in enumerate(list(world.workers.values())):
+                # Half of them keep their session's number.
+                worker.reborn(worker.session + index % 2)
+            for index, node in enumerate(world.nodes):
+                world.loop.call_later(0.2 + 0.3 * index, start, world, node)
+            await asyncio.sleep(3)
+            world.store.outage(False)
+            # The second time falls into the election after the first.
+            await asyncio.sleep(0.4 if not turn else 0.0)
+        over = world.rules.calm_since = world.loop.now
+        while await world.poll(ids[0]) is None:
+            assert world.loop.now < over + 6
+            await asyncio.sleep(0.2)
+        # Once a leader serves, most questions are answered, and every worker is renewed before its
+        # lease is over: tasks start on nearly all of them.
+        answered = 0
+        for job_id in ids:
+            answered += await world.poll(job_id) is not None
+        assert answered > 0.9 * len(ids)
+        for node in world.nodes:
+            assert (await world.ask("GET", "/ready", node=node)).status == 200
+        await asyncio.sleep(15)
+        sessions = [worker.session for worker in world.workers.values()]
+        assert max(sessions) <= 4 and len(world.workers) > 0.9 * MACHINES
+        assert len({machine for machine, _ in world.rules.where}) > 0.3 * MACHINES
+        assert set((await world.until_over(ids, 200)).values()) == {"done"}
+
+    day(script, machines=0, each=MACHINES)
