A lease of 2 s instead of 3; a node cut off from the leader is unready after 2.8 s

Cause: a crashed or frozen leader is followed when its lease ends, and no submission is accepted until then; a node whose link is refused answered 503 for 4 s and two probes.

--- a/src/elmthread/controller.py
+++ b/src/elmthread/controller.py
@@ -40,7 +40,7 @@
 
 log = logging.getLogger(__name__)
 
-LEASE = seconds(3)
+LEASE = seconds(2)
 # Telling a user `cancelled` is right only if a machine that nobody reaches is empty within
 # cancel_s: an old leader's last answers and the worker's lease must both fit into it.
 CANCEL_SLACK = seconds(4)
--- a/src/elmthread/intake/api.py
+++ b/src/elmthread/intake/api.py
@@ -24,7 +24,7 @@
 # What a node that has fallen behind refuses, and with what: the protocol's word for too much.
 KINDS = {"submit": Kind.SUBMITTING, "withdraw": Kind.ASKING, "status": Kind.ASKING}
 # A node that knows a leader it can't reach leaves users to nodes that can, after this time.
-CUT_OFF = seconds(4)
+CUT_OFF = seconds(2.8)
 # Where nobody leads, no node is better than another: users are told at once when to come
 # back, and a node taken out of service would be missing for a while after the trouble ends.
 VACANT = seconds(60)
--- a/src/elmthread/peers/link.py
+++ b/src/elmthread/peers/link.py
@@ -24,7 +24,7 @@
 REDIAL = seconds(0.5)
 SAY_EVERY = seconds(1)
 # A link on which the other side has said nothing for this long is taken for dead.
-SILENCE = seconds(4)
+SILENCE = seconds(2.8)
 
 
 class NotReached(Exception):
