--- a/src/elmthread/controller.py
+++ b/src/elmthread/controller.py
@@ -2,11 +2,7 @@
 
 import asyncio
 import logging
-from datetime import UTC, datetime, timedelta
-from functools import partial
-from typing import Any
-
-import msgspec
+from datetime import timedelta
 
 from elmthread.agents.messages import BEAT
 from elmthread.agents.reach import Reach
@@ -15,24 +11,21 @@
 from elmthread.common.http import Caller, Client, Crowd, Request, Response, Server
 from elmthread.common.load import Kind, Load
 from elmthread.fleet.client import CloudClient
-from elmthread.fleet.messages import Type
 from elmthread.fleet.service import QUIET, Fleet
 from elmthread.intake.api import Api
-from elmthread.intake.messages import Submission
+from elmthread.intake.jobs import Jobs
 from elmthread.intake.service import Intake
 from elmthread.leadership.election import Election, Tenure
-from elmthread.ledger import messages as ledger_messages
 from elmthread.ledger import records
-from elmthread.ledger.client import StateClient, Unavailable, Unsure
-from elmthread.ledger.log import SLOTS, Misread, Slots
+from elmthread.ledger.client import StateClient
+from elmthread.ledger.loading import Loader
+from elmthread.ledger.log import Slots
 from elmthread.ledger.pacing import Bucket
-from elmthread.ledger.records import LAYOUT
-from elmthread.ledger.writer import Rank, Writer
+from elmthread.ledger.writer import Writer
 from elmthread.peers.link import Peers
 from elmthread.peers.messages import Ask, Lead, Reply
-from elmthread.placement.book import Book, HoldState, Job, JobState, Machine, MachineState
-from elmthread.placement.decide import Want
-from elmthread.placement.service import Placement, may_ever_run
+from elmthread.placement.book import Book, Job
+from elmthread.placement.service import Placement
 from elmthread.settings.operators import Operators
 from elmthread.settings.platform import Platform, split_address
 from elmthread.sizing.service import Sizing
@@ -50,9 +43,6 @@
 MOST_PUT_OFF = 20
 # A round of decisions that takes this long is told of in the log.
 SLOW = seconds(0.3)
-PAGE = 400
-# Records taken in before other work gets a turn: renewals must not wait for a large load.
-BREATH = 100
 # Attempts are unique for ever: the token, which grows with each leadership, and a count.
 ATTEMPTS = 10_000_000
 # Parts of the state service's rates: the rest is for renewals and the other nodes.
@@ -99,18 +89,9 @@
         self._clock = clock
         self.token = token
         facts = platform.facts
-        self._teams = {team.name: team for team in facts.teams}
-        # What is wanted of each class: the soonest bound, and how much later the last one is.
-        self._within: dict[str, list[float]] = {}
-        self._times: dict[str, float] = {}
-        for aim in facts.objectives:
-            if aim.job_class and aim.kind == "finished" and aim.within_s:
-                self._within.setdefault(aim.job_class, []).append(aim.within_s)
-            elif aim.job_class and aim.kind == "deadline" and aim.times:
-                self._times[aim.job_class] = max(aim.times, self._times.get(aim.job_class, 1.0))
+        self._jobs = Jobs(facts, operators)
         self._attempts = token * ATTEMPTS
         self._rentals = 0
-        self._chunk = records.chunk_tasks(facts.state.value_kb)
         self._slots = Slots(int(facts.state.value_kb * 1024))
         rate = facts.state.write_rps * LEADERS_PART
         self.book = Book(records.most_holds(facts.state.value_kb))
@@ -144,8 +125,8 @@
             self.tenure,
             self.writer,
             clock,
-            self._new_job,
-            self._can_run,
+            self._jobs.new,
+            lambda spec: self._jobs.can_run(spec, self.fleet.types.values()),
             lambda: bool(self.fleet.types),
             self.accepted,
             users_at_once(platform),
@@ -164,7 +145,7 @@
         )
         self.placement = Placement(
             self.book,
-            self._teams,
+            {team.name: team for team in facts.teams},
             clock,
             self._next_attempt,
             self.agents.assign,
@@ -199,178 +180,21 @@
     def _expected(self, job: Job) -> timedelta:
         return self.work.run_time(job.spec.job_class, job.spec.expected_s)
 
-    # Jobs
-
-    def _new_job(self, spec: Submission, since: timedelta, submitted: datetime | None = None) -> Job:
-        within = self._within.get(spec.job_class, [0.0])
-        if spec.due_s:
-            slack = self._times.get(spec.job_class, 1.0)
-        else:
-            slack = max(within) / min(within) if min(within) > 0 else 1.0
-        fields: dict[str, Any] = {
-            "job_class": spec.job_class,
-            "team": spec.team,
-            "form": spec.form,
-            "priority": spec.priority,
-            "tasks": spec.tasks,
-            "cpus": spec.cpus,
-            "cards": spec.cards,
-            "ram_gb": spec.ram_gb,
-            "expected_s": spec.expected_s,
-            "due_s": spec.due_s or 0.0,
-            "objective_s": min(within),
-            "saves": spec.saves,
-            "spot": spec.spot,
-        }
-        return Job(
-            spec,
-            submitted or datetime.now(UTC),
-            since,
-            self._operators.deadline(fields),
-            slack,
-            self._operators.urgent(fields),
-            self._chunk,
-        )
-
-    def _can_run(self, spec: Submission) -> str | None:
-        team = self._teams.get(spec.team)
-        if team is None:
-            return "unknown team"
-        want = Want(
-            job=spec.id,
-            team=spec.team,
-            order=(),
-            count=1,
-            cpus=spec.cpus,
-            cards=spec.cards,
-            ram=spec.ram_gb,
-            types=None if spec.types is None else frozenset(spec.types),
-            zone=spec.zone,
-        )
-        types = [(t.name, t.cpus, t.cards, t.memory_gb, t.zones) for t in self.fleet.types.values()]
-        return may_ever_run(want, team, types)
-
-    # Loading
-
-    async def load(self) -> None:
-        """Rebuilds the view: jobs, done tasks, assignments, rentals in doubt, machine types."""
-        view = self._slots.load((item.key, item.value, item.stamp) for item in await self._all(SLOTS))
-        if LAYOUT not in view:
-            await self._adopt_earlier_layout(view)
-        count = 0
-        for prefix, read in (
-            ("j/", self._load_job),
-            ("d/", self._load_marks),
-            ("m/", self._load_machine),
-            ("r/", self._load_rental),
-            ("t/", self._load_types),
-        ):
-            for key, value in view.items():
-                if key.startswith(prefix):
-                    try:
-                        read(key, value)
-                    except (msgspec.MsgspecError, ValueError) as error:
-                        raise Misread(f"{key}: {error}") from error
-                    count += 1
-                    if count % BREATH == 0:
-                        await asyncio.sleep(0)
-        for job in list(self.book.open_jobs.values()):
-            job.refill()
-            if job.count_done == job.total:
-                self.intake.finished(job, 0, lambda: None)
-        self.loaded = True
-        log.info(
-            "loaded %s jobs, %s of them open, and %s machines",
-            len(self.book.jobs),
-            len(self.book.open_jobs),
-            len(self.book.machines),
-        )
-
-    async def _adopt_earlier_layout(self, view: dict[str, Any]) -> None:
-        """Takes over records that stand under keys of their own, as an earlier version wrote them."""
-        found = [
-            item for prefix in ("j/", "d/", "m/", "t/") for item in await self._all(prefix) if item.key not in view
-        ]
-        left = len(found)
-
-        def taken_over() -> None:
-            nonlocal left
-            left -= 1
-            if left <= 0:
-                self.writer.write(LAYOUT, Rank.TIDY, lambda: 2)
-
-        for item in found:
-            view[item.key] = item.value
-            self.writer.write(item.key, Rank.TIDY, partial(_same, item.value), taken_over)
-        if not found:
-            taken_over()
-
-    async def _all(self, prefix: str) -> list[ledger_messages.Item]:
-        items: list[ledger_messages.Item] = []
-        after = None
-        while True:
-            try:
-                page = await self._state.page(prefix, after, PAGE)
-            except (Unavailable, Unsure) as error:
-                log.info("loading %s: %s", prefix, error)
-                await asyncio.sleep(0.2)
-                continue
-            items += page.items
-            if not page.more or not page.items:
-                return items
-            after = page.items[-1].key
-
-    def _load_job(self, key: str, value: Any) -> None:
-        record = msgspec.convert(value, records.JobRecord)
-        state = JobState(record.state)
-        if record.spec is None:
-            spec = _finished_spec(key.removeprefix("j/"), record.tasks)
-            job = Job(spec, datetime.now(UTC), self._clock(), seconds(0), 1.0, False, self._chunk)
-        else:
-            submitted = records.submitted_at(record)
-            age = max(timedelta(), datetime.now(UTC) - submitted)
-            job = self._new_job(record.spec, self._clock() - age, submitted)
-            job.chunk = record.chunk
-        job.state = job.stored = job.writing = state
-        if not job.open:
-            job.pending.clear()
-        if state is JobState.DONE:
-            job.count_done = job.total
-        self.book.add_job(job)
-
-    def _load_marks(self, key: str, value: Any) -> None:
-        _, job_id, chunk = key.split("/")
-        job = self.book.jobs.get(job_id)
-        if job is not None and job.open:
-            records.mark_done(job, int(chunk), msgspec.convert(value, records.DoneRecord))
-        else:
-            self.writer.delete(key)
-
-    def _load_rental(self, key: str, value: Any) -> None:
-        # Whether it was carried out shows in the machine list; the name is never used again.
-        self.writer.delete(key)
-
-    def _load_types(self, key: str, value: Any) -> None:
-        self.fleet.set_types(msgspec.convert(value, list[Type]))
-
-    def _load_machine(self, key: str, value: Any) -> None:
-        record = msgspec.convert(value, records.MachineRecord)
-        name = key.removeprefix("m/")
-        machine = Machine(name, record.build, record.zone, record.spot, MachineState.UNSURE, self._clock())
-        machine.pool = record.pool
-        self.book.add_machine(machine)
-        for job_id, numbers in record.holds.items():
-            job = self.book.jobs.get(job_id)
-            if job is None:
-                continue
-            for task, attempt in zip(numbers[::2], numbers[1::2], strict=True):
-                if not job.is_done(task) and job.state is not JobState.DONE:
-                    self.book.hold(machine, job, task, attempt, HoldState.UNSEEN)
-
     # Running
 
     async def run(self) -> None:
-        await self.load()
+        loader = Loader(
+            self._state,
+            self._slots,
+            self.writer,
+            self.book,
+            self._jobs,
+            self._clock,
+            self.fleet.set_types,
+            self.intake.finished,
+        )
+        await loader.load()
+        self.loaded = True
         self.changed()
         async with asyncio.TaskGroup() as group:
             group.create_task(self.writer.run())
@@ -436,33 +260,6 @@
         self.fleet.stop()
 
 
-def _finished_spec(job_id: str, tasks: int) -> Submission:
-    """Of a job that is over only its end is kept; this fills the form."""
-    return Submission(
-        id=job_id,
-        job_class="-",
-        team="-",
-        form="batch",
-        priority="normal",
-        tasks=tasks,
-        cpus=1.0,
-        cards=0.0,
-        ram_gb=0.0,
-        image="-",
-        image_gb=0.0,
-        one_zone=False,
-        spread=False,
-        spot=True,
-        expected_s=0.0,
-        checkpoint_s=0.0,
-        save_s=0.0,
-    )
-
-
-def _same(value: Any) -> Any:
-    return value
-
-
 class Controller:
     def __init__(
         self,
--- /dev/null
+++ b/src/elmthread/ledger/loading.py
@@ -0,0 +1,190 @@
+"""A new leader's view, rebuilt from the store: jobs, done tasks, assignments, rentals in doubt, types."""
+
+import asyncio
+import logging
+from collections.abc import Callable
+from datetime import UTC, datetime, timedelta
+from functools import partial
+from typing import Any
+
+import msgspec
+
+from elmthread.common.clock import Clock, seconds
+from elmthread.fleet.messages import Type
+from elmthread.intake.jobs import Jobs
+from elmthread.intake.messages import Submission
+from elmthread.ledger import messages, records
+from elmthread.ledger.client import StateClient, Unavailable, Unsure
+from elmthread.ledger.log import SLOTS, Misread, Slots
+from elmthread.ledger.records import LAYOUT
+from elmthread.ledger.writer import Rank, Writer
+from elmthread.placement.book import Book, HoldState, Job, JobState, Machine, MachineState
+
+log = logging.getLogger(__name__)
+
+PAGE = 400
+# Records taken in before other work gets a turn: renewals must not wait for a large load.
+BREATH = 100
+
+
+class Loader:
+    def __init__(
+        self,
+        state: StateClient,
+        slots: Slots,
+        writer: Writer,
+        book: Book,
+        jobs: Jobs,
+        clock: Clock,
+        set_types: Callable[[list[Type]], None],
+        finished: Callable[[Job, int, Callable[[], None]], None],
+    ) -> None:
+        self._state = state
+        self._slots = slots
+        self._writer = writer
+        self._book = book
+        self._jobs = jobs
+        self._clock = clock
+        self._set_types = set_types
+        self._finished = finished
+
+    async def load(self) -> None:
+        """Rebuilds the view: jobs, done tasks, assignments, rentals in doubt, machine types."""
+        view = self._slots.load((item.key, item.value, item.stamp) for item in await self._all(SLOTS))
+        if LAYOUT not in view:
+            await self._adopt_earlier_layout(view)
+        count = 0
+        for prefix, read in (
+            ("j/", self._read_job),
+            ("d/", self._read_marks),
+            ("m/", self._read_machine),
+            ("r/", self._read_rental),
+            ("t/", self._read_types),
+        ):
+            for key, value in view.items():
+                if key.startswith(prefix):
+                    try:
+                        read(key, value)
+                    except (msgspec.MsgspecError, ValueError) as error:
+                        raise Misread(f"{key}: {error}") from error
+                    count += 1
+                    if count % BREATH == 0:
+                        await asyncio.sleep(0)
+        for job in list(self._book.open_jobs.values()):
+            job.refill()
+            if job.count_done == job.total:
+                self._finished(job, 0, lambda: None)
+        log.info(
+            "loaded %s jobs, %s of them open, and %s machines",
+            len(self._book.jobs),
+            len(self._book.open_jobs),
+            len(self._book.machines),
+        )
+
+    async def _adopt_earlier_layout(self, view: dict[str, Any]) -> None:
+        """Takes over records that stand under keys of their own, as an earlier version wrote them."""
+        found = [
+            item for prefix in ("j/", "d/", "m/", "t/") for item in await self._all(prefix) if item.key not in view
+        ]
+        left = len(found)
+
+        def taken_over() -> None:
+            nonlocal left
+            left -= 1
+            if left <= 0:
+                self._writer.write(LAYOUT, Rank.TIDY, lambda: 2)
+
+        for item in found:
+            view[item.key] = item.value
+            self._writer.write(item.key, Rank.TIDY, partial(_same, item.value), taken_over)
+        if not found:
+            taken_over()
+
+    async def _all(self, prefix: str) -> list[messages.Item]:
+        items: list[messages.Item] = []
+        after = None
+        while True:
+            try:
+                page = await self._state.page(prefix, after, PAGE)
+            except (Unavailable, Unsure) as error:
+                log.info("loading %s: %s", prefix, error)
+                await asyncio.sleep(0.2)
+                continue
+            items += page.items
+            if not page.more or not page.items:
+                return items
+            after = page.items[-1].key
+
+    def _read_job(self, key: str, value: Any) -> None:
+        record = msgspec.convert(value, records.JobRecord)
+        state = JobState(record.state)
+        if record.spec is None:
+            spec = _finished_spec(key.removeprefix("j/"), record.tasks)
+            job = Job(spec, datetime.now(UTC), self._clock(), seconds(0), 1.0, False, records.MOST_MARKS)
+        else:
+            submitted = records.submitted_at(record)
+            age = max(timedelta(), datetime.now(UTC) - submitted)
+            job = self._jobs.new(record.spec, self._clock() - age, submitted)
+            job.chunk = record.chunk
+        job.state = job.stored = job.writing = state
+        if not job.open:
+            job.pending.clear()
+        if state is JobState.DONE:
+            job.count_done = job.total
+        self._book.add_job(job)
+
+    def _read_marks(self, key: str, value: Any) -> None:
+        _, job_id, chunk = key.split("/")
+        job = self._book.jobs.get(job_id)
+        if job is not None and job.open:
+            records.mark_done(job, int(chunk), msgspec.convert(value, records.DoneRecord))
+        else:
+            self._writer.delete(key)
+
+    def _read_rental(self, key: str, value: Any) -> None:
+        # Whether it was carried out shows in the machine list; the name is never used again.
+        self._writer.delete(key)
+
+    def _read_types(self, key: str, value: Any) -> None:
+        self._set_types(msgspec.convert(value, list[Type]))
+
+    def _read_machine(self, key: str, value: Any) -> None:
+        record = msgspec.convert(value, records.MachineRecord)
+        name = key.removeprefix("m/")
+        machine = Machine(name, record.build, record.zone, record.spot, MachineState.UNSURE, self._clock())
+        machine.pool = record.pool
+        self._book.add_machine(machine)
+        for job_id, numbers in record.holds.items():
+            job = self._book.jobs.get(job_id)
+            if job is None:
+                continue
+            for task, attempt in zip(numbers[::2], numbers[1::2], strict=True):
+                if not job.is_done(task) and job.state is not JobState.DONE:
+                    self._book.hold(machine, job, task, attempt, HoldState.UNSEEN)
+
+
+def _finished_spec(job_id: str, tasks: int) -> Submission:
+    """Of a job that is over only its end is kept; this fills the form."""
+    return Submission(
+        id=job_id,
+        job_class="-",
+        team="-",
+        form="batch",
+        priority="normal",
+        tasks=tasks,
+        cpus=1.0,
+        cards=0.0,
+        ram_gb=0.0,
+        image="-",
+        image_gb=0.0,
+        one_zone=False,
+        spread=False,
+        spot=True,
+        expected_s=0.0,
+        checkpoint_s=0.0,
+        save_s=0.0,
+    )
+
+
+def _same(value: Any) -> Any:
+    return value
