--- a/src/elmthread/fleet/service.py
+++ b/src/elmthread/fleet/service.py
@@ -337,12 +337,11 @@
             self._deleting.difference_update(names)
         now = self._clock()
         for name in names:
-            machine = self._book.machines.pop(name, None)
+            machine = self._book.machines.get(name)
             if machine is None:
                 continue
             machine.move(MachineState.GONE)
-            self._book.drop_all(machine, now)
-            self._book.gone.add(name)
+            self._book.bury(machine, now)
             self._refused.pop(Kind(machine.build, machine.zone, machine.spot), None)
             self._missing.pop(name, None)
             self._writer.delete(machine_key(name))
--- a/src/elmthread/fleet/tests/test_service.py
+++ b/src/elmthread/fleet/tests/test_service.py
@@ -12,7 +12,7 @@
 from elmthread.fleet.service import MISSING, Fleet, Kind
 from elmthread.ledger.pacing import Bucket
 from elmthread.ledger.writer import Rank
-from elmthread.placement.book import Book, Machine, MachineState
+from elmthread.placement.book import REMEMBERED, Book, Machine, MachineState
 from tests.world.loop import SimLoop, play
 
 KIND = Kind("small", "east", True)
@@ -122,10 +122,12 @@
     one.take_list([])
     assert up.state.name == "DELETING"
     # One that was deleted is no news when a late list still names it.
-    book.machines.pop(up.name)
-    book.gone.add(up.name)
+    book.bury(up, cloud.loop.clock())
     one.take_list([seen])
     assert up.name not in book.machines
+    # Names are not kept for ever.
+    book.bury(booting, cloud.loop.clock() + REMEMBERED * 2)
+    assert set(book.gone) == {booting.name}
     cloud.loop.close()
 
 
--- a/src/elmthread/placement/book.py
+++ b/src/elmthread/placement/book.py
@@ -109,9 +109,12 @@
         self.state = step(self.id, JOB_STEPS, self.state, new)
         if new is not JobState.OPEN:
             self.pending.clear()
+        if new is JobState.DONE:
+            # Its end is kept for ever, the marks are not.
+            self.done = bytearray()
 
     def is_done(self, task: int) -> bool:
-        return bool(self.done[task >> 3] & (1 << (task & 7)))
+        return self.state is JobState.DONE or bool(self.done[task >> 3] & (1 << (task & 7)))
 
     def set_done(self, task: int) -> bool:
         """True if the task was not done before."""
@@ -192,6 +195,8 @@
 }
 
 
+# How long the name of a machine that is gone is remembered.
+REMEMBERED = seconds(900)
 # A new leader counts on machines that it was told of for about as long as they need to report.
 SOON_SURE = seconds(8)
 
@@ -307,7 +312,8 @@
         self.jobs: dict[str, Job] = {}
         self.open_jobs: dict[str, Job] = {}
         self.machines: dict[str, Machine] = {}
-        self.gone: set[str] = set()
+        # Machines whose deletion was answered, and when: late lists and reports still name them.
+        self.gone: dict[str, timedelta] = {}
         self.cpus_of: dict[str, float] = {}
         self.cards_of: dict[str, float] = {}
         # More holds than this on one machine would overflow its record in the store.
@@ -321,6 +327,15 @@
         if job.open:
             self.open_jobs[job.id] = job
 
+    def bury(self, machine: Machine, now: timedelta) -> None:
+        """The machine and all on it are surely gone."""
+        self.machines.pop(machine.name, None)
+        self.drop_all(machine, now)
+        # What comes later than this would only be taken for a new machine, and deleted as silent.
+        for name in [name for name, at in self.gone.items() if now - at > REMEMBERED]:
+            del self.gone[name]
+        self.gone[machine.name] = now
+
     def close_job(self, job: Job, state: JobState) -> None:
         job.move(state)
         self.open_jobs.pop(job.id, None)
--- a/tests/test_world.py
+++ b/tests/test_world.py
@@ -43,6 +43,23 @@
     return world
 
 
+@pytest.mark.parametrize("controllers", [1, 7])
+def test_any_number_of_controllers_serves_through_crashes(controllers: int) -> None:
+    async def script(world: World) -> None:
+        assert await world.submit(job(1, pieces=6, true_s=20.0, expected_s=20.0))
+        await asyncio.sleep(8)
+        for _ in range(2):
+            assert world.leader is not None
+            name = world.leader.api._node
+            world.kill(name)
+            world.loop.call_later(1, start, world, name)
+            await asyncio.sleep(5)
+            assert world.leader is not None and await world.poll("run-000001") == "running"
+        assert (await world.until_over(["run-000001"], 60)) == {"run-000001": "done"}
+
+    day(script, controllers=controllers)
+
+
 def test_jobs_run_and_are_told_done() -> None:
     async def script(world: World) -> None:
         for number in range(6):
