A zone that is cut off keeps its machines; one that is back is heard by its connection

Now silence of most machines of a zone is taken for a cut: nothing is rented there and nothing given up for 90 s more. A report on a connection on which an answer went out since its session rose proves that answers arrive.

--- a/src/elmthread/agents/service.py
+++ b/src/elmthread/agents/service.py
@@ -23,7 +23,7 @@
 from elmthread.leadership.election import Tenure
 from elmthread.ledger.records import machine_key, machine_record
 from elmthread.ledger.writer import Rank, Writer
-from elmthread.placement.book import SEEN, SOON_SURE, Book, Hold, HoldState, Job, Machine, MachineState, Stop
+from elmthread.placement.book import SEEN, Book, Hold, HoldState, Job, Machine, MachineState, Stop
 from elmthread.sizing.work import WorkModel
 
 log = logging.getLogger(__name__)
@@ -92,7 +92,7 @@
             # an earlier leader has had: it is no sign of life.
             machine.newest = (report.session, report.sequence)
             return self._answer(machine, [])
-        self._listen(machine, report, now)
+        self._listen(machine, report, request.answered_at, now)
         machine.newest = (report.session, report.sequence)
         machine.reported_at = now
         machine.quiet = False
@@ -119,12 +119,13 @@
         self._book.add_machine(machine)
         return machine
 
-    def _listen(self, machine: Machine, report: Report, now: timedelta) -> None:
+    def _listen(self, machine: Machine, report: Report, answered_at: timedelta | None, now: timedelta) -> None:
         """Whether our answers reach the machine, as far as its reports show.
 
         A session rises when no answer has arrived for a lease; a start that the next report
-        does not list was in an answer that got lost. Only a session that outlasts a lease
-        proves that answers arrive.
+        does not list was in an answer that got lost. A session that outlasts a lease proves
+        that answers arrive. So does a report on a connection on which an answer went out since
+        the session rose, unless answers have come before and nothing was done for them.
         """
         session = machine.newest[0]
         if report.session != session:
@@ -132,7 +133,10 @@
                 log.info("%s has let its lease run out: nothing new until answers are seen to arrive", machine.name)
                 machine.deaf_since = machine.deaf_since or now
             machine.session_since = now
-        elif machine.deaf_since is not None and now - max(machine.session_since, machine.deaf_since) > self._proof:
+        elif machine.deaf_since is not None and (
+            now - max(machine.session_since, machine.deaf_since) > self._proof
+            or (machine.missed < MISSED and answered_at is not None and answered_at > machine.session_since)
+        ):
             log.info("%s hears our answers again", machine.name)
             machine.deaf_since = None
             machine.missed = 0
@@ -174,15 +178,9 @@
         """Most machines are silent here and reach another node."""
         elsewhere = reach.elsewhere(self._tenure.token, self._is_news)
         now = self._clock()
-        expected = silent = 0
-        for machine in self._book.machines.values():
-            if machine.state is MachineState.UP:
-                expected += 1
-                silent += machine.quiet
-            elif machine.state is MachineState.UNSURE:
-                expected += 1
-                silent += now - max(machine.known_since, self._began) > SOON_SURE
-        return should_give_way(expected, silent, elsewhere)
+        expected = [machine for machine in self._book.machines.values() if machine.expected]
+        silent = sum(machine.unheard(now, self._began) for machine in expected)
+        return should_give_way(len(expected), silent, elsewhere)
 
     def _is_news(self, stray: Stray) -> bool:
         name, *newest = stray
--- a/src/elmthread/common/http.py
+++ b/src/elmthread/common/http.py
@@ -31,6 +31,9 @@
     path: str
     query: Mapping[str, str]
     body: bytes = b""
+    # When the request before it on the same connection was answered. As none is sent before the
+    # answer to the last has come, that answer has arrived.
+    answered_at: timedelta | None = None
 
 
 @dataclass(slots=True)
@@ -73,6 +76,7 @@
     writer: asyncio.StreamWriter
     until: timedelta
     heard: timedelta
+    answered_at: timedelta | None = None
     # Between two requests.
     idle: bool = True
     crowd: bool = False
@@ -203,6 +207,7 @@
             assert head is not None
             me.until = self.clock() + IDLE_TIME
             response = await self._respond(me, head, bytes(body))
+            me.answered_at = self.clock()
             writer.write(_encode(conn, response))
             await writer.drain()
             if conn.our_state is not h11.DONE or conn.their_state is not h11.DONE:
@@ -219,7 +224,7 @@
             return Response(400, {"error": "malformed target"}, close=True)
         if not self._join_crowd(me, target.path):
             return Response(503, {"error": "too many connections"}, seconds(1), close=True)
-        request = Request(head.method.decode("ascii"), target.path, dict(parse_qsl(target.query)), body)
+        request = Request(head.method.decode("ascii"), target.path, dict(parse_qsl(target.query)), body, me.answered_at)
         try:
             return await self.handle(request)
         except Exception:
--- a/src/elmthread/fleet/service.py
+++ b/src/elmthread/fleet/service.py
@@ -7,13 +7,13 @@
 
 import asyncio
 import logging
-from collections import deque
+from collections import Counter, deque
 from collections.abc import Callable, Coroutine
 from dataclasses import dataclass
 from datetime import timedelta
 from typing import Any
 
-from elmthread.common.clock import Clock, at_least, seconds
+from elmthread.common.clock import ZERO, Clock, at_least, seconds
 from elmthread.fleet import messages
 from elmthread.fleet.client import MOST_DELETED, MOST_LISTED, MOST_RENTED, CloudClient, NoCapacity, Trouble
 from elmthread.ledger.records import (
@@ -45,6 +45,12 @@
 QUIET = 0.4
 # A machine whose reports have shown for this many leases that our answers don't arrive is returned.
 DEAF = 3
+# A zone in which this many machines, and this part of all, are silent seems to be cut off. Its
+# machines may be back sooner than others would boot, and new ones there could not report either:
+# for so long nothing there is given up for its silence, and nothing is rented there.
+CUT_LEAST = 4
+CUT_PART = 0.8
+CUT_KEPT = seconds(90)
 # A machine that has not come up after this many times its usual boot time is given up.
 BOOTS = 2.5
 BOOT_SLACK = seconds(10)
@@ -105,6 +111,8 @@
         self._judged_at: timedelta | None = None
         self._types_at: timedelta | None = None
         self._tasks: set[asyncio.Task[None]] = set()
+        self._began = clock()
+        self._cut: frozenset[str] = frozenset()
 
     # Machine types
 
@@ -264,6 +272,8 @@
         )
 
     def refused(self, kind: Kind) -> bool:
+        if kind.zone in self._cut:
+            return True
         until = self._refused.get(kind)
         return until is not None and self._clock() < until[0]
 
@@ -350,14 +360,17 @@
     def _judge(self) -> None:
         """Each machine's silence, notice and health, against what it may still hold."""
         now = self._clock()
+        self._find_cut(now)
         for machine in list(self._book.machines.values()):
+            machine.cut = machine.zone in self._cut
             if machine.state is MachineState.DELETING:
                 self._expire(machine, now)
                 continue
+            kept = CUT_KEPT if machine.cut else ZERO
             if machine.state is MachineState.BOOTING:
                 kind = self.types.get(machine.build)
                 bound = seconds(kind.boot_s) * BOOTS + BOOT_SLACK if kind else seconds(300)
-                if now - machine.known_since > bound:
+                if now - machine.known_since > bound + kept:
                     self.give_up(machine, "has not come up")
                 continue
             machine.quiet = self._silence(machine, now) > self._lease * QUIET
@@ -368,9 +381,24 @@
                 self.give_up(machine, "our answers do not reach it")
             elif machine.suspect and not machine.holds:
                 self.give_up(machine, "fails tasks")
-            elif self._silence(machine, now) > self._lease + self._lag * 2:
+            elif self._silence(machine, now) > self._lease + self._lag * 2 + kept:
                 self.give_up(machine, "silent")
 
+    def _find_cut(self, now: timedelta) -> None:
+        expected: Counter[str] = Counter()
+        silent: Counter[str] = Counter()
+        for machine in self._book.machines.values():
+            if machine.expected:
+                expected[machine.zone] += 1
+                silent[machine.zone] += machine.unheard(now, self._began)
+        cut = frozenset(
+            zone for zone, count in silent.items() if count >= CUT_LEAST and count > CUT_PART * expected[zone]
+        )
+        if cut != self._cut:
+            log.info("zones that seem to be cut off: %s", ", ".join(sorted(cut)) or "none")
+            self._cut = cut
+            self._changed()
+
     def _silence(self, machine: Machine, now: timedelta) -> timedelta:
         last = machine.reported_at
         if last is None:
--- a/src/elmthread/placement/book.py
+++ b/src/elmthread/placement/book.py
@@ -211,6 +211,7 @@
         "cards_used",
         "cpus",
         "cpus_used",
+        "cut",
         "deaf_since",
         "empty_since",
         "fading",
@@ -262,6 +263,8 @@
         self.recall_at: timedelta | None = None
         # Overdue with its reports: it may hang or be dead, so it gets nothing new.
         self.quiet = False
+        # Its whole zone seems to be cut off: it is not counted on, but may well be back.
+        self.cut = False
         # Since when our answers have not been seen to arrive: reports alone are no proof that
         # commands get through, so it gets nothing new until they are.
         self.deaf_since: timedelta | None = None
@@ -298,8 +301,21 @@
     def core_price(self) -> float:
         return self.price / self.cpus if self.cpus else 0.0
 
+    @property
+    def expected(self) -> bool:
+        """Ought to report."""
+        return self.state in (MachineState.UP, MachineState.UNSURE)
+
+    def unheard(self, now: timedelta, began: timedelta) -> bool:
+        """Ought to have reported to the leader that began then, and has not of late."""
+        if self.state is MachineState.UNSURE:
+            return now - max(self.known_since, began) > SOON_SURE
+        return self.quiet
+
     def serves(self, now: timedelta) -> bool:
         """Takes work now, or will soon: once it has booted, or has reported to a new leader."""
+        if self.cut:
+            return False
         if self.state is MachineState.UNSURE:
             return now - self.known_since < SOON_SURE
         return self.state is MachineState.BOOTING or self.open
--- a/src/elmthread/sizing/service.py
+++ b/src/elmthread/sizing/service.py
@@ -275,7 +275,8 @@
         pool = [m for m in self._book.machines.values() if m.pool and m.state is MachineState.UP]
         whole = not any(not want.urgent for want in wants) and all(not m.holds for m in pool)
         for machine in pool:
-            if not machine.holds and now - machine.empty_since > (IDLE if whole else self._patience(machine)):
+            patience = IDLE if whole else self._patience(machine)
+            if not machine.holds and not machine.cut and now - machine.empty_since > patience:
                 self._fleet.give_up(machine, "the pool is idle")
 
     def _patience(self, machine: Machine) -> timedelta:
@@ -295,7 +296,9 @@
         outside = [
             m
             for m in self._book.machines.values()
-            if not m.pool and m.state in (MachineState.UP, MachineState.BOOTING, MachineState.UNSURE)
+            if not m.pool
+            and not m.cut
+            and m.state in (MachineState.UP, MachineState.BOOTING, MachineState.UNSURE)
         ]
         cores = sum(m.cpus for m in outside)
         for order in self._fleet.orders.values():
--- a/tests/test_troubles.py
+++ b/tests/test_troubles.py
@@ -7,6 +7,7 @@
 import pytest
 
 from elmthread.common.clock import seconds
+from elmthread.peers.messages import Ask
 from elmthread.placement.book import Machine
 from tests.test_world import day, set_apart, start
 from tests.world.world import World, job
@@ -516,3 +517,67 @@
         assert (await world.until_over(["run-000001"], 200)) == {"run-000001": "done"}
 
     day(script, machines=6)
+
+
+# A zone that is cut off
+
+
+def test_machines_of_a_zone_that_is_cut_off_are_kept_and_none_rented_there() -> None:
+    """They are back sooner than others would boot, and others there could not report either."""
+
+    async def script(world: World) -> None:
+        for _ in range(8):
+            world.rent("small", "west")
+        await asyncio.sleep(2)
+        assert await world.submit(job(1, pieces=80, true_s=25.0, expected_s=25.0))
+        await asyncio.sleep(8)
+        west = {name for name, worker in world.workers.items() if worker.zone == "west"}
+        assert len(west) >= 8 and any(machine in west for machine, _ in world.rules.where)
+        world.cut_workers |= {(worker, node) for worker in west for node in world.nodes}
+        await asyncio.sleep(8)
+        rented = {name for name, one in world.cloud.machines.items() if one.zone == "west"}
+        # Past the lease its tasks run elsewhere; the machines stay.
+        await asyncio.sleep(32)
+        assert {name for name, one in world.cloud.machines.items() if one.zone == "west"} == rented >= west
+        assert not any(machine in west for machine, _ in world.rules.where)
+        world.cut_workers.clear()
+        assert await world.submit(job(2, pieces=120, true_s=10.0, expected_s=10.0))
+        await asyncio.sleep(8)
+        assert any(machine in west for machine, _ in world.rules.where)
+        # Cut off for good, they are given up in the end.
+        world.cut_workers |= {(worker, node) for worker in west for node in world.nodes}
+        await asyncio.sleep(130)
+        assert not west & set(world.cloud.machines)
+        assert set((await world.until_over(["run-000001", "run-000002"], 200)).values()) == {"done"}
+
+    day(script, machines=4, each=2)
+
+
+# Frames of another leadership
+
+
+def test_questions_and_answers_of_another_leadership_are_dropped() -> None:
+    async def script(world: World) -> None:
+        assert await world.submit(job(1, true_s=30.0, expected_s=30.0))
+        assert world.leader is not None
+        leader = world.leader
+        asked = Ask(1, "status", "run-000001", leader.election.token)
+        assert (await leader.api.answer(asked)).status == 200
+        for token in (asked.token - 1, asked.token + 1, 0):
+            reply = await leader.api.answer(Ask(1, "status", "run-000001", token))
+            assert reply.status == 503 and reply.retry_after_s
+        # A follower that has heard of a newer leadership passes on nothing of the older one.
+        other = next(one for one in world.controllers.values() if one is not leader)
+        name = other.api._node
+        assert (await world.ask("GET", "/submissions/run-000001", node=name)).status == 200
+        ask = other.peers.ask
+
+        async def overtaken(*args: Any) -> Any:
+            reply = await ask(*args)
+            other.election.hear(asked.token + 5, leader.api._node)
+            return reply
+
+        other.peers.ask = overtaken  # type: ignore[method-assign,assignment]
+        assert (await world.ask("GET", "/submissions/run-000001", node=name)).status == 503
+
+    day(script)
--- a/tests/world/world.py
+++ b/tests/world/world.py
@@ -4,6 +4,7 @@
 import contextvars
 import random
 from collections.abc import Coroutine
+from dataclasses import replace
 from datetime import timedelta
 from typing import Any, TypeVar
 
@@ -157,6 +158,8 @@
         # Share of the reports of which a copy comes later, to any node, and how much later.
         self.copies = 0.0
         self.copy_late = (1.0, 40.0)
+        # Open connections of workers, and when the last answer went out on each.
+        self.links: dict[str, tuple[str, timedelta]] = {}
         self.drift = {node: self.rng.uniform(-0.0005, 0.0005) for node in self.nodes}
 
     # Controllers
@@ -278,6 +281,9 @@
             worker.gone()
 
     async def _send(self, worker: str, node: str, request: Request) -> Response:
+        # What is not answered on a connection ends it.
+        linked, answered_at = self.links.pop(worker, (node, None))
+        request.answered_at = answered_at if linked == node else None
         await asyncio.sleep(self.rng.uniform(0.001, 0.01))
         if self._hangs(worker, node):
             await asyncio.sleep(60)
@@ -286,12 +292,14 @@
         if self.rng.random() < self.copies:
             for _ in range(self.rng.randint(1, 2)):
                 late, other = self.rng.uniform(*self.copy_late), self.rng.choice(self.nodes)
-                self.loop.call_later(late, self._copy, other, request)
+                self.loop.call_later(late, self._copy, other, replace(request, answered_at=None))
         response = await self.serve(node, request)
+        answered_at = self.loop.clock(self.drift[node])
         # The answer may be lost on its way, and the request may have been sent before.
         if self._hangs(worker, node) or worker in self.deaf or self.rng.random() < 0.01:
             await asyncio.sleep(60)
         await asyncio.sleep(self.rng.uniform(0.001, 0.01))
+        self.links[worker] = (node, answered_at)
         return response
 
     async def report(self, body: Any, node: str) -> Response:
