--- a/src/elmthread/agents/reach.py
+++ b/src/elmthread/agents/reach.py
@@ -89,5 +89,8 @@
 
 
 def should_give_way(machines: int, silent: int, elsewhere: int) -> bool:
-    """Most machines are silent, and most of those reach another node."""
-    return silent * 2 > machines and elsewhere * 2 > silent
+    """Most machines are silent, and most of those reach another node.
+
+    Or most come to another node, silent or not: they report here too, but no answer reaches them.
+    """
+    return elsewhere * 2 > (silent if silent * 2 > machines else machines)
--- a/src/elmthread/agents/tests/test_reach.py
+++ b/src/elmthread/agents/tests/test_reach.py
@@ -16,6 +16,8 @@
     # A zone with its controller is cut off: the rest is heard here.
     assert not should_give_way(600, 150, 150)
     assert not should_give_way(0, 0, 0)
+    # Reports arrive here, answers don't arrive there.
+    assert should_give_way(600, 50, 350) and not should_give_way(600, 50, 250)
 
 
 def test_machines_that_miss_the_leader_are_counted_once_and_for_a_while() -> None:
--- a/tests/test_troubles.py
+++ b/tests/test_troubles.py
@@ -493,6 +493,23 @@
         day(script, seed=seed, machines=24, each=0)
 
 
+def test_leader_whose_answers_reach_no_worker_gives_way() -> None:
+    """Their reports go on arriving at it, so it hears them all and never takes them for silent."""
+
+    async def script(world: World) -> None:
+        assert await world.submit(job(1, pieces=100, true_s=40.0, expected_s=40.0))
+        await asyncio.sleep(10)
+        old = world.leader
+        assert old is not None
+        world.mute.add(old.api._node)
+        await asyncio.sleep(14)
+        assert world.leader is not None and world.leader is not old
+        assert (await world.until_over(["run-000001"], 150)) == {"run-000001": "done"}
+
+    for seed in range(2):
+        day(script, seed=seed, machines=24, each=0)
+
+
 @pytest.mark.parametrize("reaching", ["none", "some"])
 def test_leader_whose_machines_are_dead_or_cut_off_leads_on(reaching: str) -> None:
     """Silence alone is no reason: nobody else hears them either, or only a few of them are meant."""
--- a/tests/world/world.py
+++ b/tests/world/world.py
@@ -155,6 +155,8 @@
         self.apart: set[str] = set()
         # Workers whose reports arrive, but which no answer reaches.
         self.deaf: set[str] = set()
+        # Nodes whose answers reach no worker.
+        self.mute: set[str] = set()
         # Share of the reports of which a copy comes later, to any node, and how much later.
         self.copies = 0.0
         self.copy_late = (1.0, 40.0)
@@ -296,7 +298,7 @@
         response = await self.serve(node, request)
         answered_at = self.loop.clock(self.drift[node])
         # The answer may be lost on its way, and the request may have been sent before.
-        if self._hangs(worker, node) or worker in self.deaf or self.rng.random() < 0.01:
+        if self._hangs(worker, node) or worker in self.deaf or node in self.mute or self.rng.random() < 0.01:
             await asyncio.sleep(60)
         await asyncio.sleep(self.rng.uniform(0.001, 0.01))
         self.links[worker] = (node, answered_at)
