--- a/src/elmthread/placement/service.py
+++ b/src/elmthread/placement/service.py
@@ -23,9 +23,10 @@
 ORDER_EVERY = seconds(1)
 # A job that has waited for this long, and of which nothing has begun, starts one task before
 # all others. One that is put off for others' sake has its tasks in turn again, within a part
-# of the cores that all such jobs share; the part grows the longer the first of them waits, or a
+# of the cores that all such jobs share; from GROWS on, the part grows with the longest wait, or a
 # lasting overload would serve none of the largest.
 BEGIN = seconds(150)
+GROWS = seconds(300)
 PART = 0.1
 MOST_PART = 0.5
 
@@ -144,7 +145,7 @@
         """Tasks of jobs put off for long that go in turn with the others all the same."""
         turns = []
         put_off.sort(key=lambda one: one[0])
-        part = min(PART * ((now - put_off[0][0]) / BEGIN) ** 2, MOST_PART)
+        part = min(PART * max(1.0, (now - put_off[0][0]) / GROWS) ** 2, MOST_PART)
         cores = part * sum(machine.cpus for machine in self._book.up() if machine.open)
         for _, want in put_off:
             cores -= len(self._book.jobs[want.job].live) * want.cpus
