--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -5,7 +5,7 @@
 from typing import Any
 
 from elmthread.placement import decide
-from tests.test_world import day, start
+from tests.test_world import day, set_apart, start
 from tests.world.world import World, job
 
 MACHINES = 300
@@ -119,3 +119,67 @@
         assert set((await world.until_over(ids, 200)).values()) == {"done"}
 
     day(script, machines=0, each=MACHINES)
+
+
+def test_a_fleet_through_one_trouble_after_the_other_is_served_on() -> None:
+    """A zone cut off with its controller, refused links, a leader that stands still, a third of all lost."""
+
+    async def script(world: World) -> None:
+        zones = ["east", "north", "west"]
+        for index in range(MACHINES):
+            world.rent("small" if index % 3 else "large", zones[index // 3 % 3], spot=bool(index % 5))
+        await asyncio.sleep(2)
+        ids: list[str] = []
+
+        async def more(count: int) -> None:
+            for _ in range(count):
+                number = len(ids)
+                spec = job(number, pieces=25, true_s=10.0, expected_s=10.0, urgency=["high", "normal"][number % 2])
+                assert await world.submit(spec)
+                ids.append(spec["name_id"])
+
+        await more(30)
+        await asyncio.sleep(6)
+        # The controller keeps the workers of its zone, and nothing else.
+        west = [name for name, worker in world.workers.items() if worker.zone == "west"]
+        cut_off = next(node for node in world.nodes if world.leader and node != world.leader.api._node)
+        set_apart(world, cut_off, True)
+        world.cut_workers |= {(worker, node) for worker in west for node in world.nodes if node != cut_off}
+        await asyncio.sleep(10)
+        await more(5)
+        await asyncio.sleep(20)
+        set_apart(world, cut_off, False)
+        world.cut_workers.clear()
+        await asyncio.sleep(5)
+        # Links are refused: users at the others are told so at once, the leader serves on.
+        reach, world.reach = world.reach, lambda one, other: False  # type: ignore[method-assign]
+        assert world.leader is not None
+        leader = world.leader.api._node
+        for node in world.nodes:
+            asked = world.loop.now
+            status = (await world.ask("GET", f"/submissions/{ids[0]}", node=node)).status
+            assert status == (200 if node == leader else 503) and world.loop.now - asked < 0.1
+        await asyncio.sleep(10)
+        world.reach = reach  # type: ignore[method-assign]
+        await more(5)
+        await world.stand_still(leader, 6.0)
+        assert world.leader.api._node != leader
+        # A third of the machines: dead, hung and sick, with work coming.
+        names = sorted(world.workers)
+        for name in names[::9]:
+            world.workers.pop(name).gone()
+            world.cloud.machines[name].state = "failed"
+        for name in names[1::9]:
+            world.workers[name].hung = True
+        for name in names[2::9]:
+            world.workers[name].sick = True
+        await more(10)
+        await asyncio.sleep(20)
+        for worker in world.workers.values():
+            worker.hung = False
+        world.rules.calm_since = world.loop.now
+        assert set((await world.until_over(ids, 150)).values()) == {"done"}
+        for node in world.nodes:
+            assert (await world.ask("GET", "/ready", node=node)).status == 200
+
+    day(script, machines=0, each=MACHINES)
