--- a/src/elmthread/placement/service.py
+++ b/src/elmthread/placement/service.py
@@ -23,12 +23,9 @@
 ORDER_EVERY = seconds(1)
 # A job that has waited for this long, and of which nothing has begun, starts one task before
 # all others. One that is put off for others' sake has its tasks in turn again, within a part
-# of the cores that all such jobs share; from GROWS on, the part grows with the longest wait, or a
-# lasting overload would serve none of the largest.
+# of the cores that all such jobs share.
 BEGIN = seconds(150)
-GROWS = seconds(300)
 PART = 0.1
-MOST_PART = 0.5
 
 
 class Placement:
@@ -137,17 +134,15 @@
             if order[1] == 2.0 and not job.urgent and now - job.since > BEGIN:
                 put_off.append((job.since, want))
         if put_off:
-            wants += self._part(put_off, now)
+            wants += self._part(put_off)
         wants.sort(key=lambda want: want.order)
         return wants
 
-    def _part(self, put_off: list[tuple[timedelta, Want]], now: timedelta) -> list[Want]:
+    def _part(self, put_off: list[tuple[timedelta, Want]]) -> list[Want]:
         """Tasks of jobs put off for long that go in turn with the others all the same."""
         turns = []
-        put_off.sort(key=lambda one: one[0])
-        part = min(PART * max(1.0, (now - put_off[0][0]) / GROWS) ** 2, MOST_PART)
-        cores = part * sum(machine.cpus for machine in self._book.up() if machine.open)
-        for _, want in put_off:
+        cores = PART * sum(machine.cpus for machine in self._book.up() if machine.open)
+        for _, want in sorted(put_off, key=lambda one: one[0]):
             cores -= len(self._book.jobs[want.job].live) * want.cpus
             count = min(want.count, int(cores / want.cpus))
             if count > 0:
--- a/src/elmthread/placement/tests/test_order.py
+++ b/src/elmthread/placement/tests/test_order.py
@@ -7,7 +7,7 @@
 from elmthread.common.clock import ZERO, seconds
 from elmthread.intake.messages import read_submission
 from elmthread.placement.book import Book, HoldState, Job, JobState, Machine, MachineState
-from elmthread.placement.service import BEGIN, GROWS, MOST_PART, PART, Placement
+from elmthread.placement.service import BEGIN, PART, Placement
 from elmthread.settings.platform import Team
 from tests.world.world import job as wire
 
@@ -86,7 +86,4 @@
         cores = sum(machine.cpus for machine in book.machines.values())
         put_off = {want.job for want in wants if want.order[:2] == (1.0, 2.0)}
         turns = [want for want in wants if want.job in put_off and want.order[:2] == (1.0, 1.0)]
-        # The part grows with the square of a long wait, up to a bound.
-        longest = max((NOW - book.jobs[name].since for name in put_off), default=ZERO)
-        part = min(PART * max(1.0, longest / GROWS) ** 2, MOST_PART)
-        assert sum(want.count * want.cpus for want in turns) <= part * cores
+        assert sum(want.count * want.cpus for want in turns) <= PART * cores
