--- a/src/elmthread/agents/health.py
+++ b/src/elmthread/agents/health.py
@@ -19,6 +19,8 @@
 FAILURES_OF_A_BAD_MACHINE = 2
 # A task that has run for this long has not failed at its start.
 SURVIVED = seconds(3)
+# A replica that has served for this long and then ends is started again without a pause.
+STEADY = seconds(30)
 # A job that fails everywhere must still be tried: what it avoids is bounded in number and time.
 MOST_AVOIDED = 20
 AVOIDED = seconds(60)
@@ -33,10 +35,7 @@
         machine.failures[job.id] = machine.failures.get(job.id, 0) + 1
         fine = _runs_on(job, now)
         if not job.count_done and fine <= len(job.errors) >= MACHINES_OF_A_BAD_JOB:
-            # Tasks that fail together are one failure.
-            if now >= job.retry_at:
-                job.backoff = min(max(job.backoff * 2, FIRST_PAUSE), LONGEST_PAUSE)
-                job.retry_at = now + job.backoff
+            self._pause(job, now)
             return
         if len(machine.failures) >= FAILURES_OF_A_BAD_MACHINE or (
             machine.failures[job.id] >= FAILURES_OF_A_BAD_MACHINE and (job.count_done or fine)
@@ -48,6 +47,21 @@
         job.errors.discard(machine.name)
         machine.failures.clear()
 
+    def ended(self, job: Job, started_at: timedelta | None, now: timedelta) -> None:
+        """A replica ended by itself, which is no fault of the machine: started again at once, but
+        one that ends right after its start is not started in a loop.
+        """
+        if started_at is not None and now - started_at >= STEADY:
+            job.backoff = ZERO
+            return
+        self._pause(job, now)
+
+    def _pause(self, job: Job, now: timedelta) -> None:
+        """Tried ever less often; tasks that fail together are one failure."""
+        if now >= job.retry_at:
+            job.backoff = min(max(job.backoff * 2, FIRST_PAUSE), LONGEST_PAUSE)
+            job.retry_at = now + job.backoff
+
     def forgive(self, job: Job, now: timedelta) -> None:
         if job.errors and now - job.failed_at > AVOIDED:
             job.errors.clear()
--- a/src/elmthread/agents/service.py
+++ b/src/elmthread/agents/service.py
@@ -265,7 +265,7 @@
         if hold is not None:
             log.debug("%s on %s ended: %s", task.name, machine.name, task.why)
             self._learn(machine, hold, task, now)
-        if task.why == "done" and job is not None and name is not None and 0 <= name[1] < job.total:
+        if task.why == "done" and job is not None and not job.daemon and name is not None and 0 <= name[1] < job.total:
             index = name[1]
             if job.open and not job.is_done(index):
                 job.set_done(index)
@@ -282,7 +282,10 @@
 
     def _learn(self, machine: Machine, hold: Hold, task: Task, now: timedelta) -> None:
         job = hold.job
-        if task.why == "done":
+        if job.daemon and task.why == "done":
+            machine.images[job.spec.image] = job.spec.image_gb
+            self.health.ended(job, hold.started_at, now)
+        elif task.why == "done":
             machine.images[job.spec.image] = job.spec.image_gb
             self.health.succeeded(machine, job)
             if hold.started_at is not None and hold.stop is None:
--- a/src/elmthread/controller.py
+++ b/src/elmthread/controller.py
@@ -19,7 +19,7 @@
 from elmthread.ledger import records
 from elmthread.ledger.client import StateClient
 from elmthread.ledger.loading import Loader
-from elmthread.ledger.log import Slots
+from elmthread.ledger.log import Slots, slot_bytes
 from elmthread.ledger.pacing import Bucket
 from elmthread.ledger.writer import Writer
 from elmthread.peers.link import Peers
@@ -92,15 +92,16 @@
         self._jobs = Jobs(facts, operators)
         self._attempts = token * ATTEMPTS
         self._rentals = 0
-        self._slots = Slots(int(facts.state.value_kb * 1024))
-        rate = facts.state.write_rps * LEADERS_PART
-        self.book = Book(records.most_holds(facts.state.value_kb))
+        store = facts.state.kept()
+        self._slots = Slots(slot_bytes(store.value_kb))
+        rate = store.write_rps * LEADERS_PART
+        self.book = Book(self._slots.most, records.machine_frame)
         self.writer = Writer(
             state,
             token,
             self._slots,
             Bucket(rate, rate, clock),
-            facts.state.txn_ops,
+            store.txn_ops,
             clock,
             lambda: self.tenure.step_down("a transaction found another leader"),
         )
@@ -148,6 +149,8 @@
             {team.name: team for team in facts.teams},
             clock,
             self._next_attempt,
+            lambda: self._attempts,
+            facts.workers.report,
             self.agents.assign,
             self._expected,
             self.agents.health.forgive,
@@ -275,7 +278,8 @@
         self._clock = clock
         facts = platform.facts
         # A follower needs little of the state service's rate; a leader takes its own part.
-        self._requests = Bucket(facts.state.rps * OTHERS_PART, facts.state.rps * OTHERS_PART, clock)
+        self._store_rps = facts.state.kept().rps
+        self._requests = Bucket(self._store_rps * OTHERS_PART, self._store_rps * OTHERS_PART, clock)
         self._state = StateClient(state or Client(platform.endpoints.state), self._requests)
         self._cloud = cloud or Client(platform.endpoints.cloud)
         self.election = Election(
@@ -299,8 +303,7 @@
         self._leading: asyncio.Task[None] | None = None
 
     def _won(self, token: int) -> None:
-        rps = self._platform.facts.state.rps
-        self._requests.rate, self._requests.burst = rps * LEADERS_PART, rps * LEADERS_PART
+        self._requests.rate = self._requests.burst = self._store_rps * LEADERS_PART
         self.leader = Leader(
             self._platform,
             self._operators,
@@ -327,8 +330,7 @@
             leader.tenure.step_down("a fault")
 
     def _lost(self) -> None:
-        rps = self._platform.facts.state.rps
-        self._requests.rate, self._requests.burst = rps * OTHERS_PART, rps * OTHERS_PART
+        self._requests.rate = self._requests.burst = self._store_rps * OTHERS_PART
         if self.leader is not None:
             self.leader.stop()
         if self._leading is not None:
--- a/src/elmthread/fleet/service.py
+++ b/src/elmthread/fleet/service.py
@@ -11,16 +11,17 @@
 from collections.abc import Callable, Coroutine
 from dataclasses import dataclass
 from datetime import timedelta
+from functools import partial
 from typing import Any
 
 from elmthread.common.clock import ZERO, Clock, at_least, seconds
 from elmthread.fleet import messages
 from elmthread.fleet.client import MOST_DELETED, MOST_LISTED, MOST_RENTED, CloudClient, NoCapacity, Trouble
 from elmthread.ledger.records import (
-    TYPES,
     RentalRecord,
     machine_key,
     rental_key,
+    types_records,
 )
 from elmthread.ledger.writer import Rank, Writer
 from elmthread.placement.book import Book, Machine, MachineState
@@ -195,7 +196,8 @@
         fresh = not self.types
         self.set_types(types)
         if fresh:
-            self._writer.write(TYPES, Rank.ASSIGN, lambda: types)
+            for key, some in types_records(types, self._writer.most_record).items():
+                self._writer.write(key, Rank.ASSIGN, partial(list, some))
 
     # Lists
 
--- a/src/elmthread/intake/jobs.py
+++ b/src/elmthread/intake/jobs.py
@@ -4,9 +4,11 @@
 from datetime import UTC, datetime, timedelta
 from typing import Any
 
+from elmthread.common.clock import ZERO
 from elmthread.fleet.messages import Type
-from elmthread.intake.messages import Submission
-from elmthread.ledger.records import chunk_tasks
+from elmthread.intake.messages import DAEMON, Submission
+from elmthread.ledger.log import slot_bytes, text_of, weight
+from elmthread.ledger.records import chunk_tasks, job_key, job_record
 from elmthread.placement.book import Job
 from elmthread.placement.decide import Want
 from elmthread.placement.service import may_ever_run
@@ -18,11 +20,18 @@
     def __init__(self, facts: Facts, operators: Operators) -> None:
         self._operators = operators
         self._teams = {team.name: team for team in facts.teams}
-        self._chunk = chunk_tasks(facts.state.value_kb)
+        value_kb = facts.state.kept().value_kb
+        self._chunk = chunk_tasks(value_kb)
+        self._most_record = slot_bytes(value_kb)
         # What is wanted of each class: the soonest bound, and how much later the last one is.
         self._within: dict[str, list[float]] = {}
         self._times: dict[str, float] = {}
+        # How soon a replica of the class is to serve: an aim for its start, or from when on it is missed.
+        self._start: dict[str, float] = {}
         for aim in facts.objectives:
+            start = {"wait": aim.within_s, "up": aim.after_s}.get(aim.kind)
+            if aim.job_class and start:
+                self._start[aim.job_class] = min(start, self._start.get(aim.job_class, start))
             if aim.job_class and aim.kind == "finished" and aim.within_s:
                 self._within.setdefault(aim.job_class, []).append(aim.within_s)
             elif aim.job_class and aim.kind == "deadline" and aim.times:
@@ -45,7 +54,7 @@
             "ram_gb": spec.ram_gb,
             "expected_s": spec.expected_s,
             "due_s": spec.due_s or 0.0,
-            "objective_s": min(within),
+            "objective_s": self._start.get(spec.job_class, 0.0) if spec.form == DAEMON else min(within),
             "saves": spec.saves,
             "spot": spec.spot,
         }
@@ -55,7 +64,8 @@
             since,
             self._operators.deadline(fields),
             slack,
-            self._operators.urgent(fields),
+            # Replicas have no end to be late with: they are urgent whatever the operators say.
+            spec.form == DAEMON or self._operators.urgent(fields),
             self._chunk,
         )
 
@@ -68,12 +78,16 @@
             job=spec.id,
             team=spec.team,
             order=(),
-            count=1,
+            # A batch's tasks may take turns, replicas can't.
+            count=spec.tasks if spec.form == DAEMON else 1,
             cpus=spec.cpus,
             cards=spec.cards,
             ram=spec.ram_gb,
             types=None if spec.types is None else frozenset(spec.types),
             zone=spec.zone,
         )
+        record = job_record(self.new(spec, ZERO))
+        if weight(job_key(spec.id), text_of(record)) > self._most_record:
+            return "its record is larger than the state service takes"
         types = [(t.name, t.cpus, t.cards, t.memory_gb, t.zones) for t in kinds]
         return may_ever_run(want, team, types)
--- a/src/elmthread/intake/messages.py
+++ b/src/elmthread/intake/messages.py
@@ -6,6 +6,8 @@
 
 import msgspec
 
+BATCH: Literal["batch"] = "batch"
+DAEMON: Literal["daemon"] = "daemon"
 JOB_ID = re.compile(r"run-[A-Za-z0-9_.-]{1,64}\Z")
 MOST_TASKS = 100_000
 
@@ -40,7 +42,8 @@
     id: Name
     job_class: Name
     team: Name
-    form: Literal["batch"]
+    # A daemon's tasks are replicas, which run until it is withdrawn; a batch's run to completion.
+    form: Literal["batch", "daemon"]
     priority: Literal["production", "high", "normal", "best_effort"]
     tasks: Annotated[int, msgspec.Meta(ge=1, le=MOST_TASKS)]
     cpus: Annotated[float, msgspec.Meta(gt=0.0, le=1e6)]
--- a/src/elmthread/leadership/election.py
+++ b/src/elmthread/leadership/election.py
@@ -20,7 +20,7 @@
 from elmthread.common.clock import ZERO, Clock, at_least, at_most, seconds
 from elmthread.common.states import step
 from elmthread.ledger import messages
-from elmthread.ledger.client import Expired, Lost, StateClient, Unavailable, Unsure
+from elmthread.ledger.client import Expired, Lost, Refused, StateClient, Unavailable, Unsure
 from elmthread.ledger.records import LEADER
 
 log = logging.getLogger(__name__)
@@ -128,7 +128,7 @@
         while True:
             try:
                 await self._round()
-            except (Unavailable, Unsure, Expired, Lost) as error:
+            except (Unavailable, Unsure, Expired, Refused, Lost) as error:
                 log.debug("election: %s", error)
                 await asyncio.sleep(RETRY.total_seconds())
 
--- a/src/elmthread/ledger/client.py
+++ b/src/elmthread/ledger/client.py
@@ -24,6 +24,14 @@
     """The request was surely not executed (503, 429, or refused by our own pacing)."""
 
 
+class TooMany(Unavailable):
+    """Refused as beyond the rate of requests or changes."""
+
+
+class Refused(Exception):
+    """A transaction that the service takes for malformed or too large: not executed, and never will be."""
+
+
 class Unsure(Exception):
     """The request may have been executed, or may still be."""
 
@@ -62,7 +70,7 @@
         if answer.status == 409:
             raise Lost(_read(answer, messages.Conflict, 409).failed)
         if answer.status == 400:
-            raise Expired(str(answer.body))
+            raise Refused(str(answer.body))
         return _read(answer, messages.Revision).revision
 
     async def grant(self, ttl: timedelta) -> int:
@@ -101,7 +109,8 @@
             raise Unsure(str(error)) from error
         if answer.status == 429:
             self._requests.drain()
-        if answer.status in (429, 503):
+            raise TooMany(f"{method} {path.split('?')[0]}: 429: {answer.body}")
+        if answer.status == 503:
             raise Unavailable(f"{method} {path.split('?')[0]}: {answer.status}")
         return answer
 
--- a/src/elmthread/ledger/loading.py
+++ b/src/elmthread/ledger/loading.py
@@ -12,7 +12,7 @@
 from elmthread.common.clock import Clock, seconds
 from elmthread.fleet.messages import Type
 from elmthread.intake.jobs import Jobs
-from elmthread.intake.messages import Submission
+from elmthread.intake.messages import BATCH, Submission
 from elmthread.ledger import messages, records
 from elmthread.ledger.client import StateClient, Unavailable, Unsure
 from elmthread.ledger.log import SLOTS, Misread, Slots
@@ -47,6 +47,7 @@
         self._clock = clock
         self._set_types = set_types
         self._finished = finished
+        self._types: dict[str, Type] = {}
 
     async def load(self) -> None:
         """Rebuilds the view: jobs, done tasks, assignments, rentals in doubt, machine types."""
@@ -60,6 +61,7 @@
             ("m/", self._read_machine),
             ("r/", self._read_rental),
             ("t/", self._read_types),
+            (records.TYPE_PARTS, self._read_types),
         ):
             for key, value in view.items():
                 if key.startswith(prefix):
@@ -70,6 +72,8 @@
                     count += 1
                     if count % BREATH == 0:
                         await asyncio.sleep(0)
+        if self._types:
+            self._set_types(list(self._types.values()))
         for job in list(self._book.open_jobs.values()):
             job.refill()
             if job.count_done == job.total:
@@ -146,7 +150,7 @@
         self._writer.delete(key)
 
     def _read_types(self, key: str, value: Any) -> None:
-        self._set_types(msgspec.convert(value, list[Type]))
+        self._types.update((kind.name, kind) for kind in msgspec.convert(value, list[Type]))
 
     def _read_machine(self, key: str, value: Any) -> None:
         record = msgspec.convert(value, records.MachineRecord)
@@ -169,7 +173,7 @@
         id=job_id,
         job_class="-",
         team="-",
-        form="batch",
+        form=BATCH,
         priority="normal",
         tasks=tasks,
         cpus=1.0,
--- a/src/elmthread/ledger/log.py
+++ b/src/elmthread/ledger/log.py
@@ -34,6 +34,11 @@
     return "{" + ",".join(f"{quoted(key)}:{text}" for key, text in records.items()) + "}"
 
 
+def slot_bytes(value_kb: float) -> int:
+    """What the records of one slot may take together."""
+    return int(value_kb * 1024) - FRAME
+
+
 def quoted(key: str) -> str:
     return msgspec.json.encode(key).decode()
 
@@ -66,14 +71,18 @@
 class Slots:
     """Where each record's newest durable version stands, and which slots may be written over."""
 
-    def __init__(self, value_bytes: int) -> None:
-        self.most = value_bytes - FRAME
+    def __init__(self, most: int) -> None:
+        """`most` bytes of records go into one slot (`slot_bytes`)."""
+        self.most = most
         self.number = 0
         self._slots: dict[str, Slot] = {}
         self._free: list[Slot] = []
         self._taken: set[str] = set()
         self._where: dict[str, Slot] = {}
         self._texts: dict[str, str] = {}
+        # Bytes of all that is current, and slots of larger values than are allowed now.
+        self._live = 0
+        self._large: set[str] = set()
         # In how many slots a version of the record stands.
         self._copies: dict[str, int] = {}
 
@@ -110,6 +119,11 @@
         self._taken.add(slot.key)
         return slot
 
+    def give_back(self, slot: Slot) -> None:
+        """A slot that was taken, and surely was not and will not be filled."""
+        self._taken.discard(slot.key)
+        self._free.append(slot)
+
     def written(self, slot: Slot, stamp: int, texts: dict[str, str]) -> None:
         self._taken.discard(slot.key)
         self._put(slot, stamp, texts)
@@ -129,6 +143,9 @@
             self._texts[key] = text
             slot.current.add(key)
             slot.live += weight(key, text)
+            self._live += weight(key, text)
+        if slot.live > self.most:
+            self._large.add(slot.key)
         for key in before:
             self._copies[key] -= 1
         for key in (*before, *texts):
@@ -139,6 +156,9 @@
     def _outdate(self, slot: Slot, key: str) -> None:
         slot.current.discard(key)
         slot.live -= weight(key, self._texts[key])
+        self._live -= weight(key, self._texts[key])
+        if slot.live <= self.most:
+            self._large.discard(slot.key)
         if not slot.current and slot.key not in self._taken:
             self._free.append(slot)
 
@@ -158,8 +178,26 @@
     def crowded(self) -> bool:
         """More slots in use than what is current needs, with ample room for what is to come."""
         used = len(self._slots) - len(self._free)
-        live = sum(slot.live for slot in self._slots.values())
-        return used > 24 + 2 * live // self.most
+        return used > 24 + 2 * self._live // self.most
+
+    def too_large(self, busy: set[str], room: int) -> dict[str, str]:
+        """Some current records of a slot that holds more than a value may now, as many as fit.
+
+        What larger values were allowed to hold is carried along bit by bit: the whole would
+        never fit. A record that is itself too large stays, readable, until a newer version of
+        it is written.
+        """
+        moved: dict[str, str] = {}
+        for name in self._large:
+            slot = self._slots[name]
+            for key in sorted(slot.current - busy):
+                size = weight(key, self._texts[key])
+                if size <= room:
+                    moved[key] = self._texts[key]
+                    room -= size
+            if moved:
+                break
+        return moved
 
     def emptiest(self, busy: set[str], room: int) -> dict[str, str]:
         """Current records of the slot with the fewest bytes of them, if they fit into `room`."""
--- a/src/elmthread/ledger/records.py
+++ b/src/elmthread/ledger/records.py
@@ -10,14 +10,21 @@
 
 import msgspec
 
+from elmthread.fleet.messages import Type
 from elmthread.intake.messages import Submission
+from elmthread.ledger.log import text_of, weight
 from elmthread.placement.book import Job, JobState, Machine
 
 LEADER = "leader"
 TYPES = "t/types"
 LAYOUT = "layout"
-# The most tasks in one record of done marks: each finished task writes its record anew.
+# Parts of the machine types, where all of them are more than a value may hold. An earlier version
+# passes over them, and asks the cloud, as it does at its first start.
+TYPE_PARTS = "y/"
+# The most tasks in one record of done marks: each finished task writes its record anew, so a
+# record takes a small part of a slot only.
 MOST_MARKS = 1024
+MARKS_PART = 1 / 32
 
 
 def job_key(job_id: str) -> str:
@@ -32,18 +39,20 @@
     return f"m/{name}"
 
 
+def types_records(types: list[Type], most: int) -> dict[str, list[Type]]:
+    """The machine types as one record, or, where that is more than `most` bytes, as one for each."""
+    if weight(TYPES, text_of(types)) <= most:
+        return {TYPES: types}
+    return {f"{TYPE_PARTS}{number:04d}": [kind] for number, kind in enumerate(types)}
+
+
 def rental_key(name: str) -> str:
     return f"r/{name}"
 
 
 def chunk_tasks(value_kb: float) -> int:
-    """Tasks a chunk of done marks: one hexadecimal digit for four, half the value's limit."""
-    return min(MOST_MARKS, max(8, int(value_kb * 1024 / 2) * 4 // 8 * 8))
-
-
-def most_holds(value_kb: float) -> int:
-    """Assignments that surely fit a machine's record: each takes at most a job id and two numbers."""
-    return max(1, int((value_kb * 1024 - 400) / 120))
+    """Tasks a chunk of done marks: one hexadecimal digit stands for four."""
+    return min(MOST_MARKS, max(8, int(value_kb * 1024 * MARKS_PART) * 4 // 8 * 8))
 
 
 class JobRecord(msgspec.Struct, omit_defaults=True):
@@ -75,14 +84,25 @@
 
 
 def job_record(job: Job) -> JobRecord:
-    if job.state is not JobState.DONE:
-        # Tasks of a cancelled job may be on machines for a while: what they take, and whose
-        # limit they count for, must outlive the leader that cancelled it.
+    if job.state is JobState.OPEN:
         return JobRecord(job.state.value, job.total, job.submitted.timestamp(), job.chunk, job.spec)
+    if job.state is JobState.CANCELLED:
+        # Tasks of a cancelled job may be on machines for a while: what they take, and whose
+        # limit they count for, must outlive the leader that cancelled it. Where they may run
+        # matters no more: a job with a long list that larger values once took must stay
+        # cancellable where values have become smaller.
+        spec = msgspec.structs.replace(job.spec, job_class="-", image="-", types=None, zone=None)
+        return JobRecord(job.state.value, job.total, job.submitted.timestamp(), job.chunk, spec)
     # What is over is kept for ever, so it is kept small.
     return JobRecord(job.state.value, job.total)
 
 
+def machine_frame(machine: Machine) -> int:
+    """Bytes of a slot that a machine's record takes at most before anything is assigned to it."""
+    record = MachineRecord(machine.build, machine.zone, True, True, {"": []})
+    return weight(machine_key(machine.name), text_of(record))
+
+
 def done_record(job: Job, chunk: int) -> DoneRecord:
     low = chunk * job.chunk // 8
     return DoneRecord(bytes(job.done[low : low + job.chunk // 8]).hex())
--- a/src/elmthread/ledger/writer.py
+++ b/src/elmthread/ledger/writer.py
@@ -18,7 +18,7 @@
 
 from elmthread.common.clock import ZERO, Clock, seconds
 from elmthread.ledger import messages
-from elmthread.ledger.client import Expired, Lost, StateClient, Unavailable, Unsure
+from elmthread.ledger.client import Lost, Refused, StateClient, TooMany, Unavailable, Unsure
 from elmthread.ledger.log import Slot, SlotRecord, Slots, pack, text_of, weight
 from elmthread.ledger.pacing import Bucket
 from elmthread.ledger.records import LEADER
@@ -31,6 +31,9 @@
 PAUSE = seconds(0.25)
 # Between two picks: what comes meanwhile goes together.
 GATHER = seconds(0.05)
+# After a transaction was refused as too large or malformed, records go alone for so long: the
+# one that can't be stored is found, and holds up no other.
+ALONE = seconds(30)
 
 
 class Rank(IntEnum):
@@ -98,6 +101,12 @@
         self._stopped = False
         # Since when the store has not taken a transaction; users are told at once while it does not.
         self.failing_since: timedelta | None = None
+        self._alone_until = ZERO
+
+    @property
+    def most_record(self) -> int:
+        """Bytes that one record may take in a slot."""
+        return self._slots.most
 
     def write(self, key: str, rank: Rank, make: Make, after: Callable[[], None] | None = None) -> None:
         """Writes make()'s value soon; `after` is called once that, or something newer, is durable."""
@@ -178,6 +187,7 @@
             key=lambda change: (change.rank, change.since),
         )
         most = min(self._most_ops, max(1, int(self._changes.level())), max(1, MAX_TXN // self._slots.most))
+        alone = self._clock() < self._alone_until
         filled: list[Filled] = []
         batch: list[Change] = []
         for change in ready:
@@ -194,6 +204,8 @@
                 log.error("%s: %s bytes are more than a value may hold", change.key, size)
                 del self._waiting[change.key]
                 continue
+            if alone and filled:
+                break
             if not filled or filled[-1].size + size > self._slots.most:
                 if len(filled) >= most:
                     break
@@ -205,13 +217,19 @@
             batch.append(change)
         if filled:
             self._changes.take(len(filled), -self._changes.burst)
-            self._tidy(filled[-1])
+            if not alone:
+                self._tidy(filled[-1])
         return filled, batch
 
     def _tidy(self, last: Filled) -> None:
-        """Moves what is current in nearly empty slots along, so that they can be written over."""
-        while self._slots.crowded():
-            moved = self._slots.emptiest(self._busy | self._waiting.keys(), self._slots.most - last.size)
+        """Moves what is current in nearly empty slots, and in too large ones, along, so that they
+        can be written over.
+        """
+        while True:
+            busy, room = self._busy | self._waiting.keys(), self._slots.most - last.size
+            moved = self._slots.too_large(busy, room)
+            if not moved and self._slots.crowded():
+                moved = self._slots.emptiest(busy, room)
             if not moved:
                 return
             last.texts |= moved
@@ -226,21 +244,29 @@
             then.append(
                 messages.put(one.slot.key, msgspec.to_builtins(SlotRecord(one.number, pack(one.texts))))
             )
+        unsure = False
         while not self._stopped:
             try:
                 revision = await self._client.commit(guards, then)
             except Unavailable as error:
                 log.info("not written: %s", error)
+                if isinstance(error, TooMany):
+                    self._changes.drain()
                 self._failed()
                 await asyncio.sleep(PAUSE.total_seconds())
-            except Expired:
-                # Refused as malformed, so not carried out, and never will be: told, not repeated.
-                log.error("the state service refuses a transaction of %s slots", len(filled))
-                raise
+            except Refused as error:
+                sizes = ", ".join(str(one.size) for one in filled)
+                log.error("the state service refuses a transaction with slots of %s bytes: %s", sizes, error)
+                if unsure:
+                    # An earlier sending of it may still be carried out, which only a new token prevents.
+                    raise
+                self._refused(filled, batch)
+                return
             except Unsure as error:
                 # It may have been carried out, or may still be: sent again as it is, it is
                 # carried out once, or the guards on the slots tell that it was.
                 log.info("outcome unknown: %s", error)
+                unsure = True
                 self._failed()
                 await asyncio.sleep(PAUSE.total_seconds())
             except Lost as lost:
@@ -255,6 +281,27 @@
                 self._done(filled, batch, revision)
                 return
 
+    def _refused(self, filled: list[Filled], batch: list[Change]) -> None:
+        """Nothing was carried out: what was in it waits again, each record for a change of its own.
+
+        A record that is refused alone is given up, as one that is known to be too large: what
+        depends on it stays undone, and all else goes on. Giving up leadership for it would
+        bring the next leader to the same transaction.
+        """
+        for one in filled:
+            self._slots.give_back(one.slot)
+        if len(batch) == 1 and self._clock() < self._alone_until:
+            log.error("%s can't be stored", batch[0].key)
+            return
+        self._alone_until = self._clock() + ALONE
+        for change in batch:
+            newer = self._waiting.get(change.key)
+            if newer is not None:
+                newer.after += change.after
+                newer.rank, newer.since = min(newer.rank, change.rank), change.since
+            else:
+                self._waiting[change.key] = change
+
     def _done(self, filled: list[Filled], batch: list[Change], revision: int) -> None:
         self.failing_since = None
         for one in filled:
--- a/src/elmthread/placement/book.py
+++ b/src/elmthread/placement/book.py
@@ -6,13 +6,13 @@
 """
 
 from collections import deque
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from datetime import datetime, timedelta
 from enum import Enum, auto
 
 from elmthread.common.clock import ZERO, seconds
 from elmthread.common.states import step
-from elmthread.intake.messages import Submission
+from elmthread.intake.messages import DAEMON, Submission
 
 
 class JobState(Enum):
@@ -38,6 +38,7 @@
         "backoff",
         "chunk",
         "count_done",
+        "daemon",
         "deadline",
         "done",
         "errors",
@@ -73,6 +74,8 @@
         chunk: int,
     ) -> None:
         self.id = spec.id
+        # Its tasks are replicas: whatever one ends with, it is started again, and none is ever done.
+        self.daemon = spec.form == DAEMON
         self.submitted = submitted
         self.spec = spec
         self.total = spec.tasks
@@ -118,7 +121,7 @@
 
     def set_done(self, task: int) -> bool:
         """True if the task was not done before."""
-        if not 0 <= task < self.total or self.is_done(task):
+        if self.daemon or not 0 <= task < self.total or self.is_done(task):
             return False
         self.done[task >> 3] |= 1 << (task & 7)
         self.count_done += 1
@@ -215,10 +218,12 @@
         "deaf_since",
         "empty_since",
         "fading",
+        "fading_since",
         "failures",
         "fetch_rate",
         "holds",
         "images",
+        "kept",
         "known_since",
         "missed",
         "name",
@@ -229,12 +234,15 @@
         "ram",
         "ram_used",
         "recall_at",
+        "record_size",
         "reported_at",
         "session_since",
         "silent_sessions",
         "spot",
+        "standing_cpus",
         "state",
         "suspect",
+        "tasks_of",
         "to_reap",
         "urgent_cpus",
         "was_listed",
@@ -248,8 +256,12 @@
         self.spot = spot
         self.state = state
         self.cpus = self.cards = self.ram = 0.0
-        # Cores held by urgent work, for sizing.
+        # Cores held by urgent work, and of these by replicas, which have no end; for sizing.
         self.urgent_cpus = 0.0
+        self.standing_cpus = 0.0
+        # Tasks held, by job, and the bytes that the machine's record takes at most.
+        self.tasks_of: dict[str, int] = {}
+        self.record_size = 0
         self.cpus_used = self.cards_used = self.ram_used = 0.0
         self.fetch_rate = 1.0
         self.price = 0.0
@@ -274,6 +286,9 @@
         self.pool = False
         # Not needed as things stand: gets work only where no other machine has room.
         self.fading = False
+        self.fading_since: timedelta | None = None
+        # Stands in reserve for services that may use no spot machine: not returned when empty.
+        self.kept = False
         self.was_listed = False
         self.failures: dict[str, int] = {}
         self.suspect = False
@@ -321,10 +336,20 @@
         return self.state is MachineState.BOOTING or self.open
 
 
+def entry_size(job_id: str) -> int:
+    """Bytes in a machine's record for a job with tasks there: `"ID":[],`, its quotes escaped once more."""
+    return len(job_id) + 8
+
+
+def task_size(task: int, attempt: int) -> int:
+    return len(str(task)) + len(str(attempt)) + 2
+
+
 class Book:
     """All jobs and machines, and the counts that the rules are judged by."""
 
-    def __init__(self, most_holds: int) -> None:
+    def __init__(self, most_record: int, frame: Callable[[Machine], int] = lambda machine: 0) -> None:
+        """`most_record` bytes is all that a machine's record may take, `frame` what it takes when empty."""
         self.jobs: dict[str, Job] = {}
         self.open_jobs: dict[str, Job] = {}
         self.machines: dict[str, Machine] = {}
@@ -332,11 +357,16 @@
         self.gone: dict[str, timedelta] = {}
         self.cpus_of: dict[str, float] = {}
         self.cards_of: dict[str, float] = {}
-        # More holds than this on one machine would overflow its record in the store.
-        self.most_holds = most_holds
+        self.most_record = most_record
+        self._frame = frame
 
     def add_machine(self, machine: Machine) -> None:
         self.machines[machine.name] = machine
+        machine.record_size = self._frame(machine)
+
+    def record_left(self, machine: Machine) -> int:
+        """Bytes that more assignments may take; below 0 where larger values were allowed once."""
+        return self.most_record - machine.record_size
 
     def add_job(self, job: Job) -> None:
         self.jobs[job.id] = job
@@ -363,6 +393,12 @@
         machine.cpus_used += spec.cpus
         if job.urgent:
             machine.urgent_cpus += spec.cpus
+        if job.daemon:
+            machine.standing_cpus += spec.cpus
+        if job.id not in machine.tasks_of:
+            machine.record_size += entry_size(job.id)
+        machine.tasks_of[job.id] = machine.tasks_of.get(job.id, 0) + 1
+        machine.record_size += task_size(task, attempt)
         machine.cards_used += spec.cards
         machine.ram_used += spec.ram_gb
         self.cpus_of[spec.team] = self.cpus_of.get(spec.team, 0.0) + spec.cpus
@@ -379,12 +415,20 @@
         machine.cpus_used -= spec.cpus
         if job.urgent:
             machine.urgent_cpus -= spec.cpus
+        if job.daemon:
+            machine.standing_cpus -= spec.cpus
+        machine.record_size -= task_size(hold.task, hold.attempt)
+        machine.tasks_of[job.id] -= 1
+        if not machine.tasks_of[job.id]:
+            del machine.tasks_of[job.id]
+            machine.record_size -= entry_size(job.id)
         if hold.state is HoldState.RUNNING:
             job.running -= 1
         machine.cards_used -= spec.cards
         machine.ram_used -= spec.ram_gb
         if not machine.holds:
-            machine.cpus_used = machine.cards_used = machine.ram_used = machine.urgent_cpus = 0.0
+            machine.cpus_used = machine.cards_used = machine.ram_used = 0.0
+            machine.urgent_cpus = machine.standing_cpus = 0.0
             machine.empty_since = now
         self.cpus_of[spec.team] -= spec.cpus
         self.cards_of[spec.team] -= spec.cards
--- a/src/elmthread/placement/decide.py
+++ b/src/elmthread/placement/decide.py
@@ -26,7 +26,7 @@
     images: frozenset[str] | dict[str, float] = frozenset()
     # Images that it fetches now, or will for tasks it has been given.
     coming: set[str] = field(default_factory=set)
-    most: int = 1000  # tasks it may still be given
+    record_left: float = math.inf  # bytes that its record in the store may still take
     fading: bool = False
 
 
@@ -53,6 +53,15 @@
     # Machines on which the job has failed: not tried again there.
     avoid: Collection[str] = frozenset()
     urgent: bool = False
+    rank: int = 0
+    # Bytes that its tasks take in a machine's record: once for the job, and for each task.
+    entry: int = 0
+    each: int = 0
+    # Replicas that one machine is given as long as others have room: what takes the machine
+    # should not take all of a service.
+    machine_most: float = math.inf
+    # Tasks of the job by machine, as far as they may be there now; kept only with such a bound.
+    machines: dict[str, int] = field(default_factory=dict)
 
 
 @dataclass(slots=True)
@@ -76,11 +85,18 @@
     )
 
 
-def fits(want: Want, slot: Slot, room: Room) -> int:
-    """How many of the tasks the machine, the team's limit and the zones take."""
+def fits(want: Want, slot: Slot, room: Room, apart: bool = False) -> int:
+    """How many of the tasks the machine, the team's limit and the zones take.
+
+    `apart`: no more of them on one machine than are to stand there if others have room.
+    """
     if slot.name in want.avoid or not allowed(want, slot.build, slot.zone, slot.spot):
         return 0
-    count = min(want.count, slot.most)
+    count = want.count
+    if want.each > 0 and slot.record_left < want.entry + count * want.each:
+        count = int((slot.record_left - want.entry) // want.each)
+    if apart and want.machine_most < math.inf:
+        count = min(count, int(want.machine_most) - want.machines.get(slot.name, 0))
     cpus = min(slot.cpus, room.cpus)
     if want.cpus > 0:
         count = min(count, int(cpus / want.cpus + TINY))
@@ -164,42 +180,54 @@
             if want.urgent:
                 keep_for(room)
             continue
-        # Each shelf counts once for each way in which its machines come by the image.
-        ranks = []
-        for number, shelf in enumerate(shelves):
-            if not shelf.in_order():
-                continue
-            one = shelf.slots[0]
-            if (want.types is not None and one.build not in want.types) or (one.spot and not want.spot):
-                continue
-            if shelf.slots[-1].cpus + TINY < want.cpus:
-                continue
-            time, dear = want.image_gb / one.fetch_rate, dearness(want, one.price, cheapest)
-            ranks += [(one.fading, FETCH_COST[way] * time + dear, number, way) for way in Fetch]
-        ranks.sort()
-        ways: dict[int, dict[Fetch, list[Slot]]] = {}
-        for _, _, number, way in ranks:
-            shelf = shelves[number]
-            if number not in ways:
-                ways[number] = {}
-                for slot in shelf.slots:
-                    ways[number].setdefault(way_to_image(want, slot), []).append(slot)
-            for slot in ways[number].get(way, ()):
-                count = fits(want, slot, room)
-                if count <= 0:
-                    continue
-                take(want, slot, room, count)
-                shelf.sorted = False
-                placed.append((want, slot, count))
-                if want.count <= 0 or room.cpus + TINY < want.cpus:
-                    break
-            if want.count <= 0 or room.cpus + TINY < want.cpus:
-                break
+        if want.machine_most < math.inf:
+            _give(want, shelves, cheapest, room, True, placed)
+        if want.count > 0 and room.cpus + TINY >= want.cpus:
+            _give(want, shelves, cheapest, room, False, placed)
         if want.urgent and want.count > 0 and room.cpus + TINY < want.cpus:
             keep_for(room)
     return placed
 
 
+def _give(
+    want: Want,
+    shelves: list[_Shelf],
+    cheapest: float,
+    room: Room,
+    apart: bool,
+    placed: list[tuple[Want, Slot, int]],
+) -> None:
+    # Each shelf counts once for each way in which its machines come by the image.
+    ranks = []
+    for number, shelf in enumerate(shelves):
+        if not shelf.in_order():
+            continue
+        one = shelf.slots[0]
+        if (want.types is not None and one.build not in want.types) or (one.spot and not want.spot):
+            continue
+        if shelf.slots[-1].cpus + TINY < want.cpus:
+            continue
+        time, dear = want.image_gb / one.fetch_rate, dearness(want, one.price, cheapest)
+        ranks += [(one.fading, FETCH_COST[way] * time + dear, number, way) for way in Fetch]
+    ranks.sort()
+    ways: dict[int, dict[Fetch, list[Slot]]] = {}
+    for _, _, number, way in ranks:
+        shelf = shelves[number]
+        if number not in ways:
+            ways[number] = {}
+            for slot in shelf.slots:
+                ways[number].setdefault(way_to_image(want, slot), []).append(slot)
+        for slot in ways[number].get(way, ()):
+            count = fits(want, slot, room, apart)
+            if count <= 0:
+                continue
+            take(want, slot, room, count)
+            shelf.sorted = False
+            placed.append((want, slot, count))
+            if want.count <= 0 or room.cpus + TINY < want.cpus:
+                return
+
+
 def keep_for(room: Room) -> None:
     """What the team has left gathers for its urgent task, or smaller ones would take it each time."""
     room.cpus = 0.0
@@ -211,7 +239,9 @@
     slot.cpus -= count * want.cpus
     slot.cards -= count * want.cards
     slot.ram -= count * want.ram
-    slot.most -= count
+    slot.record_left -= want.entry + count * want.each
+    if want.machine_most < math.inf:
+        want.machines[slot.name] = want.machines.get(slot.name, 0) + count
     if want.image not in slot.images:
         slot.coming.add(want.image)
     room.cpus -= count * want.cpus
@@ -229,6 +259,7 @@
     cards: float
     ram: float
     loss: timedelta = ZERO
+    rank: int = 9
 
 
 def preempt(want: Want, slots: dict[str, Slot], victims: dict[str, list[Victim]], room: Room) -> list[Victim]:
@@ -250,7 +281,7 @@
 
     # A team at its limit makes room for its urgent work itself, wherever its tasks run.
     if room.cpus + TINY < want.count * want.cpus:
-        own = [victim for held in victims.values() for victim in held if victim.team == want.team]
+        own = [one for held in victims.values() for one in held if one.team == want.team and one.rank > want.rank]
         own.sort(key=lambda victim: victim.loss)
         for victim in own:
             if room.cpus + TINY >= want.count * want.cpus:
@@ -297,7 +328,7 @@
     """The cheapest victims on one machine whose room, with what is free, takes one task."""
     cpus, cards, ram = slot.cpus, slot.cards, slot.ram
     some: list[Victim] = []
-    for victim in sorted(held, key=lambda victim: victim.loss):
+    for victim in sorted((one for one in held if one.rank > want.rank), key=lambda victim: victim.loss):
         if cpus + TINY >= want.cpus and cards + TINY >= want.cards and ram + TINY >= want.ram:
             break
         some.append(victim)
--- a/src/elmthread/placement/service.py
+++ b/src/elmthread/placement/service.py
@@ -2,13 +2,14 @@
 
 import logging
 import math
+from collections import Counter
 from collections.abc import Callable
 from dataclasses import replace
 from datetime import timedelta
 
 from elmthread.common.clock import ZERO, Clock, seconds
-from elmthread.placement.book import Book, Hold, HoldState, Job, JobState, Machine, Stop
-from elmthread.placement.decide import Room, Slot, Victim, Want, place, preempt
+from elmthread.placement.book import Book, Hold, HoldState, Job, JobState, Machine, Stop, entry_size, task_size
+from elmthread.placement.decide import Room, Slot, Victim, Want, fits, place, preempt
 from elmthread.settings.platform import Team
 from elmthread.sizing.decide import Line, forsaken
 
@@ -26,6 +27,11 @@
 # of the cores that all such jobs share.
 BEGIN = seconds(150)
 PART = 0.1
+# One machine is given this part of a service's replicas at most, as long as others have room.
+APART = 3
+# Replicas on a machine that will be taken run on where none has room for them, until what is
+# left is needed to stop them.
+LAST_CALL = 1.5
 
 
 class Placement:
@@ -35,6 +41,8 @@
         teams: dict[str, Team],
         clock: Clock,
         next_attempt: Callable[[], int],
+        attempts: Callable[[], int],
+        report: timedelta,
         assign: Callable[[Machine], None],
         expected: Callable[[Job], timedelta],
         forgive: Callable[[Job, timedelta], None],
@@ -43,6 +51,8 @@
         self._teams = teams
         self._clock = clock
         self._next_attempt = next_attempt
+        self._attempts = attempts
+        self._report = report
         self._assign = assign
         self._expected = expected
         self._forgive = forgive
@@ -173,10 +183,15 @@
         """
         lines: dict[str, list[Line]] = {}
         urgent: dict[str, float] = {}
+        # Replicas have no end: what they hold, or soon will, is no team's to share out.
+        standing: dict[str, float] = {}
         for job in self._book.open_jobs.values():
             team = self._teams.get(job.spec.team)
             if team is None:
                 continue
+            if job.daemon:
+                standing[team.name] = standing.get(team.name, 0.0) + job.total * job.spec.cpus
+                continue
             each = self._expected(job).total_seconds()
             # Of what runs, about half is still to do.
             work = (len(job.pending) + len(job.live) / 2) * job.spec.cpus * each
@@ -190,9 +205,12 @@
             lines.setdefault(team.name, []).append(Line(job.id, due, work, own))
         last: set[str] = set()
         for name, line in lines.items():
-            last |= forsaken(line, self._teams[name].cpu_limit, urgent.get(name, 0.0))
+            own_cores = self._teams[name].cpu_limit - standing.get(name, 0.0)
+            if own_cores > 0:
+                last |= forsaken(line, own_cores, urgent.get(name, 0.0))
         cores = sum(machine.cpus for machine in self._book.machines.values() if machine.serves(now))
-        if cores:
+        cores -= sum(standing.values())
+        if cores > 0:
             rest = [one for line in lines.values() for one in line if one.job not in last]
             last |= forsaken(rest, cores, sum(urgent.values()))
         return last
@@ -217,6 +235,11 @@
             zone_most=math.ceil(job.total / 2) if spec.spread else math.inf,
             avoid=job.errors,
             urgent=job.urgent,
+            rank=job.rank,
+            entry=entry_size(job.id),
+            each=task_size(job.total, self._attempts() + MOST_PLACED),
+            machine_most=math.ceil(job.total / APART) if job.daemon else math.inf,
+            machines=Counter(hold.machine.name for hold in job.live.values()) if job.daemon else {},
         )
 
     def _make_room(self, wants: list[Want], rooms: dict[str, Room], now: timedelta) -> None:
@@ -249,6 +272,7 @@
                             spec.cards,
                             spec.ram_gb,
                             self._loss(hold, now),
+                            hold.job.rank,
                         )
                     )
         place(wants, slots.values(), rooms)
@@ -274,11 +298,37 @@
                 continue
             left = machine.recall_at - now
             for hold in machine.holds.values():
-                if hold.stop is None and not self._ends_within(hold, left, now):
-                    hold.stop = Stop.SAVE
+                if hold.stop is not None or self._ends_within(hold, left, now):
+                    continue
+                if hold.job.daemon and not self._should_move(hold, left):
+                    continue
+                hold.stop = Stop.SAVE
+
+    def _should_move(self, hold: Hold, left: timedelta) -> bool:
+        """A replica is moved as soon as another machine has room for it; until then it serves on."""
+        stopping = self._report * LAST_CALL + seconds(hold.job.spec.save_s)
+        if hold.started_at is None or left < stopping:
+            return True
+        return self.has_room(hold)
+
+    def has_room(self, hold: Hold) -> bool:
+        """Another machine has room for the task, once it is off this one."""
+        want = self.want_of(hold.job)
+        zone = hold.machine.zone
+        if zone in want.zones:
+            want.zones[zone] -= 1
+        return any(
+            fits(want, _slot(machine, self._book), Room())
+            for machine in self._book.up()
+            if machine.open and not machine.fading and machine is not hold.machine and machine.free >= want.cpus
+        )
+
+    def want_of(self, job: Job) -> Want:
+        """One task of the job, whether any waits or not."""
+        return self._want(job, (), 1)
 
     def _ends_within(self, hold: Hold, left: timedelta, now: timedelta) -> bool:
-        if hold.started_at is None:
+        if hold.started_at is None or hold.job.daemon:
             return False
         return self._expected(hold.job) - (now - hold.started_at) < left
 
@@ -315,15 +365,19 @@
             for hold in machine.holds.values()
             if hold.state in _COMING and hold.job.spec.image not in machine.images
         },
-        most=book.most_holds - len(machine.holds),
+        record_left=book.record_left(machine),
         fading=machine.fading,
     )
 
 
 def may_ever_run(job: Want, limit: Team, types: list[tuple[str, float, float, float, list[str]]]) -> str | None:
-    """Why the job can never run, or None. `types`: name, cpus, cards, memory, zones."""
-    if job.cpus > limit.cpu_limit or job.cards > limit.card_limit:
-        return "one task needs more than the team's limit"
+    """Why the job can never run, or None; `count` of its tasks must be able to run at once.
+
+    `types`: name, cpus, cards, memory, zones.
+    """
+    if job.cpus * job.count > limit.cpu_limit or job.cards * job.count > limit.card_limit:
+        who = "one task needs" if job.count == 1 else "its replicas together need"
+        return f"{who} more than the team's limit"
     for name, cpus, cards, ram, zones in types:
         if job.types is not None and name not in job.types:
             continue
--- a/src/elmthread/settings/platform.py
+++ b/src/elmthread/settings/platform.py
@@ -44,9 +44,12 @@
 
 
 class Objective(msgspec.Struct, rename={"job_class": "class"}):
+    """What is wanted of a class; `up` is the share of replica time served, from `after_s` on."""
+
     kind: str
     job_class: str | None = None
     within_s: float | None = None
+    after_s: float | None = None
     share: float | None = None
     times: float | None = None
 
@@ -69,11 +72,36 @@
         return seconds(self.cancel_s)
 
 
+class NextState(msgspec.Struct):
+    """Limits that the state service will have from some moment on; what is absent does not change."""
+
+    rps: float | None = None
+    write_rps: float | None = None
+    value_kb: float | None = None
+    txn_ops: int | None = None
+
+
 class State(msgspec.Struct):
     rps: float
     write_rps: float
     value_kb: float
     txn_ops: int
+    next: NextState | None = None
+
+    def kept(self) -> "State":
+        """The stricter of each limit now and next, which this version keeps from its start.
+
+        The moment of the change comes without notice: what keeps both never has to notice it,
+        and no transaction that is under way then becomes one that is refused.
+        """
+        if self.next is None:
+            return self
+        limits = {
+            name: min(value, getattr(self, name))
+            for name in ("rps", "write_rps", "value_kb", "txn_ops")
+            if (value := getattr(self.next, name)) is not None
+        }
+        return msgspec.structs.replace(self, **limits)
 
 
 class Cloud(msgspec.Struct):
@@ -170,6 +198,10 @@
         "facts.limits.ram_mb": facts.limits.ram_mb,
         "facts.limits.max_connections": facts.limits.max_connections,
     }
+    if facts.state.next is not None:
+        for field, value in msgspec.structs.asdict(facts.state.next).items():
+            if value is not None:
+                positive[f"facts.state.next.{field}"] = value
     for name, value in positive.items():
         if not (math.isfinite(value) and value > 0):
             raise BadSettings(f"{name}: must be above 0, is {value}")
--- a/src/elmthread/sizing/decide.py
+++ b/src/elmthread/sizing/decide.py
@@ -65,6 +65,8 @@
     price: float  # an hour
     boot: float
     most: int = 50
+    cards: float = 0.0
+    ram: float = math.inf
 
 
 def merged(supplies: Sequence[Supply]) -> list[Supply]:
--- a/src/elmthread/sizing/service.py
+++ b/src/elmthread/sizing/service.py
@@ -10,10 +10,11 @@
 from elmthread.common.clock import Clock, seconds
 from elmthread.fleet.service import Fleet, Kind
 from elmthread.placement.book import Book, Hold, Job, Machine, MachineState, Stop
-from elmthread.placement.decide import Room, Want, allowed
+from elmthread.placement.decide import Room, Slot, Want, allowed
 from elmthread.placement.service import Placement
 from elmthread.settings.operators import Operators
 from elmthread.sizing.decide import Band, Group, Offer, Supply, band, dear, fewest, refill
+from elmthread.sizing.services import machines_for, reserve, unplaced
 
 log = logging.getLogger(__name__)
 
@@ -29,6 +30,8 @@
 # have run for long enough that the move is worth its cost.
 DEAR = 1.4
 SETTLED = seconds(30)
+# How long a machine that is not needed is kept for the sake of replicas that others could take.
+STAYED = seconds(600)
 # Boots take up to half again as long as the cloud says.
 BOOT = 1.2
 # Urgent demand is remembered for this long to track theta.
@@ -63,11 +66,82 @@
         now = self._clock()
         wants = self._placement.wants(now)
         rooms = self._placement.rooms()
+        self._for_services(wants, now)
         self._for_groups(wants, rooms, now)
         urgent = self._urgent(wants, rooms)
         self._for_band(wants, urgent, now)
         self._fade(wants, rooms, urgent, now)
 
+    # Services
+
+    def _for_services(self, wants: list[Want], now: timedelta) -> None:
+        """Replicas get machines that they may use: what fits nowhere, and a band of their own.
+
+        An exception to the design, whose band counts cores of every kind: replicas that may
+        use no spot machine, or no more than half of them in one zone, wait beside any number
+        of cores of the wrong kind.
+        """
+        daemons = [job for job in self._book.open_jobs.values() if job.daemon]
+        if not daemons:
+            for machine in self._book.machines.values():
+                machine.kept = False
+            return
+        waiting = [want for want in wants if self._book.jobs[want.job].daemon]
+        rooms = self._placement.rooms()
+        if waiting:
+            left = unplaced(waiting, self._soon_room(waiting, now), rooms)
+            if left:
+                self._order(machines_for(left, self._offers(left), rooms, MOST_AT_ONCE), pool=False)
+        # The band, over the machines of the kind that the most demanding of them may use.
+        templates = [self._placement.want_of(job) for job in daemons if not job.spec.spot]
+        firm = [m for m in self._book.machines.values() if not m.spot and m.serves(now)]
+        for_replicas = sum(m.cpus - (m.urgent_cpus - m.standing_cpus) for m in firm)
+        for_replicas += sum(
+            kind.cpus * order.count
+            for order in self._fleet.orders.values()
+            if not order.kind.spot and (kind := self._fleet.types.get(order.kind.build)) is not None
+        )
+        booked = sum(m.standing_cpus for m in firm)
+        booked += _usable([want for want in waiting if not want.spot], self._placement.rooms())
+        theta, delta = self._operators.theta, self._operators.delta
+        if templates and band(booked, for_replicas, theta, delta) is Band.RENT:
+            offers = [offer for offer in self._offers(templates) if not offer.spot]
+            self._order(refill(offers, booked / theta - for_replicas, MOST_AT_ONCE), pool=False)
+        # Those that hold replicas are kept first, then the cheapest.
+        firm.sort(key=lambda m: (-m.standing_cpus, m.core_price, m.name))
+        needed = booked / max(theta - delta, 0.05) if templates else 0.0
+        kept = reserve(((m.name, m.zone, m.cpus) for m in firm), needed)
+        for machine in self._book.machines.values():
+            machine.kept = machine.name in kept
+
+    def _soon_room(self, waiting: list[Want], now: timedelta) -> list[Slot]:
+        """Room that replicas have, or get once deferrable work has given way or machines are up."""
+        slots = []
+        for m in self._book.machines.values():
+            if not m.serves(now) or not any(allowed(want, m.build, m.zone, m.spot) for want in waiting):
+                continue
+            firm_part = m.urgent_cpus / m.cpus_used if m.cpus_used else 0.0
+            slots.append(
+                Slot(
+                    m.name,
+                    m.build,
+                    m.zone,
+                    m.spot,
+                    m.cpus - m.urgent_cpus,
+                    m.cards - m.cards_used * firm_part,
+                    m.ram - m.ram_used * firm_part,
+                )
+            )
+        for order in self._fleet.orders.values():
+            kind = self._fleet.types.get(order.kind.build)
+            if kind is not None:
+                where = (order.kind.build, order.kind.zone, order.kind.spot)
+                slots += [
+                    Slot(f"{order.name}+{number}", *where, kind.cpus, kind.cards, kind.memory_gb)
+                    for number in range(order.count)
+                ]
+        return slots
+
     # Deferrable pressure
 
     def _for_groups(self, wants: list[Want], rooms: dict[str, Room], now: timedelta) -> None:
@@ -84,7 +158,12 @@
             places = self._places(group[0], now)
             # Urgent work is the band's, unless nothing there is could take it at all; but it
             # goes ahead of what is judged here.
-            waiting = [want for want in group if not want.urgent or not places]
+            # Replicas have room made for them apart, and no deadline to be judged by.
+            waiting = [
+                want
+                for want in group
+                if not self._book.jobs[want.job].daemon and (not want.urgent or not places)
+            ]
             if waiting:
                 alike.setdefault(places, []).extend(waiting)
             if places:
@@ -129,7 +208,9 @@
         supplies = self._supplies(places, waiting[0], now)
         busy, ahead = self._running(places, now)
         for want in urgent:
-            ahead += want.count * want.cpus * self._expected(self._book.jobs[want.job]).total_seconds()
+            job = self._book.jobs[want.job]
+            if not job.daemon:
+                ahead += want.count * want.cpus * self._expected(job).total_seconds()
         usable += _usable(urgent, rooms) + busy - sum(supply.cores for supply in supplies)
         chosen = fewest(groups, supplies, ahead, offers, usable, MOST_AT_ONCE)
         if chosen:
@@ -184,7 +265,8 @@
             if machine.name not in places:
                 continue
             if machine.state is not MachineState.BOOTING:
-                supplies.append(Supply(0.0, machine.cpus))
+                # What replicas hold serves nobody else again.
+                supplies.append(Supply(0.0, machine.cpus - machine.standing_cpus))
                 continue
             kind = self._fleet.types[machine.build]
             age = (now - machine.known_since).total_seconds()
@@ -202,6 +284,8 @@
         cores = work = 0.0
         for name in places:
             for hold in self._book.machines[name].holds.values():
+                if hold.job.daemon:
+                    continue
                 cores += hold.job.spec.cpus
                 work += hold.job.spec.cpus * self._left(hold, now)
         return cores, work
@@ -227,7 +311,18 @@
                         for want in waiting
                     ):
                         price = kind.spot_price if spot else kind.price
-                        offers.append(Offer(kind.name, zone, spot, kind.cpus, price, kind.boot_s * BOOT))
+                        offers.append(
+                            Offer(
+                                kind.name,
+                                zone,
+                                spot,
+                                kind.cpus,
+                                price,
+                                kind.boot_s * BOOT,
+                                cards=kind.cards,
+                                ram=kind.memory_gb,
+                            )
+                        )
         return offers
 
     def _cheap(self, offers: list[Offer]) -> list[Offer]:
@@ -250,13 +345,33 @@
         # Of equally dear machines the fuller are kept: the others are closer to being empty.
         serving.sort(key=lambda m: (round(m.core_price, 3), -m.cpus_used, m.name))
         for machine in serving:
-            machine.fading = needed <= 0
+            machine.fading = needed <= 0 and not machine.kept
+            if not machine.fading:
+                machine.fading_since = None
+            elif machine.fading_since is None:
+                machine.fading_since = now
             needed -= machine.cpus
             if not machine.fading:
                 spare += machine.free
             elif machine.holds and machine.cpus_used <= spare and machine.core_price >= DEAR * serving[0].core_price:
                 spare -= machine.cpus_used
                 self._move_away(machine, now)
+            elif machine.fading_since is not None and now - machine.fading_since > STAYED:
+                self._move_replicas(machine)
+
+    def _move_replicas(self, machine: Machine) -> None:
+        """A machine that only replicas keep is not kept for ever: where others have room they move,
+        one of a job at a time, since each move costs replica time.
+        """
+        holds = list(machine.holds.values())
+        if not holds or any(hold.stop is not None or not hold.job.daemon for hold in holds):
+            return
+        moving: set[str] = set()
+        for hold in holds:
+            if hold.job.id not in moving and hold.job.running == hold.job.total and self._placement.has_room(hold):
+                log.info("%s/%s moves off %s, which is not needed", hold.job.id, hold.task, machine.name)
+                moving.add(hold.job.id)
+                hold.stop = Stop.SAVE
 
     def _move_away(self, machine: Machine, now: timedelta) -> None:
         holds = list(machine.holds.values())
@@ -276,7 +391,7 @@
         whole = not any(not want.urgent for want in wants) and all(not m.holds for m in pool)
         for machine in pool:
             patience = IDLE if whole else self._patience(machine)
-            if not machine.holds and not machine.cut and now - machine.empty_since > patience:
+            if not machine.holds and not machine.cut and not machine.kept and now - machine.empty_since > patience:
                 self._fleet.give_up(machine, "the pool is idle")
 
     def _patience(self, machine: Machine) -> timedelta:
