--- a/src/elmthread/sizing/service.py
+++ b/src/elmthread/sizing/service.py
@@ -14,7 +14,7 @@
 from elmthread.placement.service import Placement
 from elmthread.settings.operators import Operators
 from elmthread.sizing.decide import Band, Group, Offer, Supply, band, dear, fewest, refill
-from elmthread.sizing.services import machines_for, reserve, unplaced
+from elmthread.sizing.services import Trend, machines_for, reserve, unplaced
 
 log = logging.getLogger(__name__)
 
@@ -59,6 +59,7 @@
         self._clock = clock
         self._demand: deque[tuple[timedelta, float]] = deque()
         self.theta = operators.theta
+        self._services = Trend()
 
     def round(self) -> None:
         if not self._fleet.types:
@@ -83,6 +84,7 @@
         """
         daemons = [job for job in self._book.open_jobs.values() if job.daemon]
         if not daemons:
+            self._services.growth(now, 0.0)
             for machine in self._book.machines.values():
                 machine.kept = False
             return
@@ -104,12 +106,15 @@
         booked = sum(m.standing_cpus for m in firm)
         booked += _usable([want for want in waiting if not want.spot], self._placement.rooms())
         theta, delta = self._operators.theta, self._operators.delta
-        if templates and band(booked, for_replicas, theta, delta) is Band.RENT:
+        # What will be booked by the time a machine rented now is up.
+        boot = seconds(max(kind.boot_s for kind in self._fleet.types.values()) * BOOT) + self._operators.check
+        soon = booked + self._services.growth(now, booked) * boot.total_seconds()
+        if templates and (band(booked, for_replicas, theta, delta) is Band.RENT or soon > for_replicas):
             offers = [offer for offer in self._offers(templates) if not offer.spot]
-            self._order(refill(offers, booked / theta - for_replicas, MOST_AT_ONCE), pool=False)
+            self._order(refill(offers, max(booked / theta, soon) - for_replicas, MOST_AT_ONCE), pool=False)
         # Those that hold replicas are kept first, then the cheapest.
         firm.sort(key=lambda m: (-m.standing_cpus, m.core_price, m.name))
-        needed = booked / max(theta - delta, 0.05) if templates else 0.0
+        needed = max(booked / max(theta - delta, 0.05), soon) if templates else 0.0
         kept = reserve(((m.name, m.zone, m.cpus) for m in firm), needed)
         for machine in self._book.machines.values():
             machine.kept = machine.name in kept
@@ -453,7 +458,13 @@
         share stays in the band.
         """
         most = self.theta + self._operators.delta
-        empty = [m for m in outside if m.open and m.fading and not m.holds and now - m.empty_since > IDLE]
+        empty = [
+            m
+            for m in outside
+            # An ordinary machine is the only kind that some work may use: not given away in a lull
+            # that is shorter than the boot of another.
+            if m.open and m.fading and not m.holds and now - m.empty_since > (IDLE if m.spot else self._patience(m))
+        ]
         for machine in sorted(empty, key=lambda m: -m.core_price):
             if urgent <= most * (cores - machine.cpus):
                 cores -= machine.cpus
--- a/src/elmthread/sizing/services.py
+++ b/src/elmthread/sizing/services.py
@@ -7,12 +7,35 @@
 """
 
 import math
+from collections import deque
 from collections.abc import Iterable, Sequence
 from dataclasses import replace
+from datetime import timedelta
 
+from elmthread.common.clock import seconds
 from elmthread.placement.decide import TINY, Room, Slot, Want, allowed, place
 from elmthread.sizing.decide import Offer
 
+# How far back the growth of the demand of services is looked for, and the shortest rise judged.
+TREND = seconds(60)
+SHORTEST = seconds(20)
+
+
+class Trend:
+    """How fast the cores that replicas need grow, since the lowest of late."""
+
+    def __init__(self) -> None:
+        self._seen: deque[tuple[timedelta, float]] = deque()
+
+    def growth(self, now: timedelta, cores: float) -> float:
+        """Notes what is needed now; returns the cores by which it grows each second."""
+        self._seen.append((now, cores))
+        while self._seen[0][0] < now - TREND:
+            self._seen.popleft()
+        low = min(cores for _, cores in self._seen)
+        since = max(at for at, cores in self._seen if cores == low)
+        return (cores - low) / max(now - since, SHORTEST).total_seconds()
+
 
 def unplaced(wants: Iterable[Want], slots: Sequence[Slot], rooms: dict[str, Room]) -> list[Want]:
     """What is left of the tasks once `slots` (used up) are full, as far as limits let it run."""
