--- a/src/elmthread/agents/health.py
+++ b/src/elmthread/agents/health.py
@@ -10,7 +10,7 @@
 from datetime import timedelta
 
 from elmthread.common.clock import ZERO, seconds
-from elmthread.placement.book import HoldState, Job, Machine
+from elmthread.placement.book import Hold, HoldState, Job, Machine
 
 FIRST_PAUSE = seconds(2)
 LONGEST_PAUSE = seconds(120)
@@ -47,14 +47,18 @@
         job.errors.discard(machine.name)
         machine.failures.clear()
 
-    def ended(self, job: Job, started_at: timedelta | None, now: timedelta) -> None:
+    def steady(self, hold: Hold, now: timedelta) -> bool:
+        """It has served for so long that its end says nothing about its start."""
+        return hold.started_at is not None and now - hold.started_at >= STEADY
+
+    def ended(self, hold: Hold, now: timedelta) -> None:
         """A replica ended by itself, which is no fault of the machine: started again at once, but
         one that ends right after its start is not started in a loop.
         """
-        if started_at is not None and now - started_at >= STEADY:
-            job.backoff = ZERO
-            return
-        self._pause(job, now)
+        if self.steady(hold, now):
+            hold.job.backoff = ZERO
+        else:
+            self._pause(hold.job, now)
 
     def _pause(self, job: Job, now: timedelta) -> None:
         """Tried ever less often; tasks that fail together are one failure."""
--- a/src/elmthread/agents/service.py
+++ b/src/elmthread/agents/service.py
@@ -282,9 +282,8 @@
 
     def _learn(self, machine: Machine, hold: Hold, task: Task, now: timedelta) -> None:
         job = hold.job
-        if job.daemon and task.why == "done":
-            machine.images[job.spec.image] = job.spec.image_gb
-            self.health.ended(job, hold.started_at, now)
+        if job.daemon and (task.why == "done" or self.health.steady(hold, now)):
+            self.health.ended(hold, now)
         elif task.why == "done":
             machine.images[job.spec.image] = job.spec.image_gb
             self.health.succeeded(machine, job)
--- a/src/elmthread/sizing/service.py
+++ b/src/elmthread/sizing/service.py
@@ -4,6 +4,7 @@
 import math
 from collections import Counter, deque
 from collections.abc import Callable
+from dataclasses import replace
 from datetime import timedelta
 from typing import Any
 
@@ -88,7 +89,12 @@
             for machine in self._book.machines.values():
                 machine.kept = False
             return
-        waiting = [want for want in wants if self._book.jobs[want.job].daemon]
+        # A service that fails wherever it is tried would avoid, and so rent, machine after machine.
+        waiting = [
+            replace(want, avoid=()) if job.backoff else want
+            for want in wants
+            if (job := self._book.jobs[want.job]).daemon
+        ]
         rooms = self._placement.rooms()
         if waiting:
             left = unplaced(waiting, self._soon_room(waiting, now), rooms)
--- a/tests/world/rules.py
+++ b/tests/world/rules.py
@@ -68,6 +68,10 @@
             self.used[self.specs[job]["crew"]] -= self.specs[job]["cpus"]
             self.zones_of[job][self.zones[machine]] -= 1
 
+    def serving(self, job: str) -> int:
+        """How many of a service's replicas are on machines now."""
+        return sum(len(machines) for task, machines in self.machines_of.items() if task.rpartition("/")[0] == job)
+
     @property
     def where(self) -> list[tuple[str, str]]:
         """(machine, task) for all that is on machines now."""
@@ -101,6 +105,8 @@
             return
         if state == "done":
             spec = self.specs[job]
+            if spec["form"] != "batch":
+                self._break("not_done", f"{job} is a service")
             missing = [n for n in range(spec["pieces"]) if f"{job}/{n}" not in self.finished]
             if missing:
                 self._break("not_done", f"{job}: {missing[:5]}")
--- a/tests/world/services.py
+++ b/tests/world/services.py
@@ -1,6 +1,8 @@
 """Stand-ins for the state service and the cloud, written from the protocol, in process."""
 
 import asyncio
+import json
+import math
 import random
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -92,8 +94,14 @@
 class StateStore(Service):
     """Keys, stamps, guarded transactions, grants and watches."""
 
-    def __init__(self, loop: SimLoop, rng: random.Random, most_ops: int, value_bytes: int) -> None:
+    def __init__(
+        self, loop: SimLoop, rng: random.Random, most_ops: int, value_bytes: int, write_rps: float = math.inf
+    ) -> None:
         super().__init__(loop, rng, 0.004)
+        self.write_rps = self.level = write_rps
+        self.level_at = loop.now
+        # Transactions refused as beyond the rate of changes, and the largest number of slots.
+        self.too_many = 0
         self.revision = 1
         self.items: dict[str, tuple[Any, int, int | None]] = {}
         self.grants: dict[int, tuple[float, float]] = {}  # ttl, end
@@ -189,17 +197,36 @@
         pairs = [{"k": key, "value": self.items[key][0], "stamp": self.items[key][1]} for key in keys[:most]]
         return Answer(200, {"pairs": pairs, "has_next": len(keys) > most, "ledger_rev": self.revision})
 
+    def limit(self, value_kb: float, txn_ops: int, write_rps: float) -> None:
+        """New limits, from now on and without notice; what is stored stays as it is."""
+        self.value_bytes, self.most_ops = int(value_kb * 1024), txn_ops
+        self.write_rps, self.level = write_rps, min(self.level, write_rps)
+
+    def _within_rate(self, changes: int) -> bool:
+        if self.write_rps == math.inf:
+            return True
+        now = self.loop.now
+        self.level = min(self.write_rps, self.level + (now - self.level_at) * self.write_rps)
+        self.level_at = now
+        if self.level < changes:
+            return False
+        self.level -= changes
+        return True
+
     def _transact(self, body: Any) -> Answer:
         then = body.get("then", [])
         if len(then) > self.most_ops or len(body["guards"]) > 4 * self.most_ops:
             self.bad_requests.append("too many operations")
             return Answer(400, {"error": "too many operations"})
         for change in then:
-            if "put" in change and len(repr(change["value"])) > self.value_bytes * 1.2:
+            if "put" in change and len(json.dumps(change["value"], separators=(",", ":"))) > self.value_bytes:
                 self.bad_requests.append("value too large")
                 return Answer(400, {"error": "value too large"})
             if change.get("hold") is not None and change["hold"] not in self.grants:
                 return Answer(400, {"error": "no such lease"})
+        if not self._within_rate(len(then)):
+            self.too_many += 1
+            return Answer(429, {"error": "too many changes"})
         failed = [
             one["k"]
             for one in body["guards"]
--- a/tests/world/workers.py
+++ b/tests/world/workers.py
@@ -99,10 +99,12 @@
                     if self.sick:
                         self._exit(task, "error")
                 else:
-                    if task.state == "running":
+                    spec = self.rules.specs[task.name.rpartition("/")[0]]
+                    ends = spec.get("ends", "done") if task.state == "running" else "halted"
+                    if ends == "done" and spec["form"] == "batch":
                         self.results.add(task.name)
                         self.rules.completed(task.name)
-                    self._exit(task, "done" if task.state == "running" else "halted")
+                    self._exit(task, ends)
                 self.change.set()
 
     def _exit(self, task: Running, why: str) -> None:
--- a/tests/world/world.py
+++ b/tests/world/world.py
@@ -84,6 +84,7 @@
 write_rps = 30.0
 value_kb = 8.0
 txn_ops = 8
+{next}
 [facts.cloud]
 rps = 4.0
 list_lag_s = 3.0
@@ -94,13 +95,19 @@
 """
 
 
-def settings(node: str, nodes: list[str]) -> platform.Platform:
+# Limits that the state service has from some moment on, where a day has such a moment.
+NEXT = {"value_kb": 2.0, "txn_ops": 4, "write_rps": 15.0}
+
+
+def settings(node: str, nodes: list[str], limits: dict[str, float] | None = None) -> platform.Platform:
     others = "".join(
         f'[[others]]\nnode_name = "{other}"\nsite = "east"\naddress = "10.0.0.1:8081"\n'
         for other in nodes
         if other != node
     )
-    return platform.parse(SETTINGS.format(node=node, others=others))
+    next_limits = "" if limits is None else "[facts.state.next]\n"
+    next_limits += "".join(f"{name} = {value}\n" for name, value in (limits or {}).items())
+    return platform.parse(SETTINGS.format(node=node, others=others, next=next_limits))
 
 
 def job(number: int, **changes: Any) -> dict[str, Any]:
@@ -129,16 +136,35 @@
     } | changes
 
 
+def daemon(number: int, **changes: Any) -> dict[str, Any]:
+    """A service: `true_s` is how long a replica serves before it ends by itself, with `ends`."""
+    return job(
+        number,
+        docket="gateway",
+        form="daemon",
+        urgency="production",
+        pieces=3,
+        loaners=False,
+        scatter=True,
+        expected_s=0.0,
+        true_s=float("inf"),
+        ends="done",
+    ) | changes
+
+
 class World:
     def __init__(self, seed: int = 1, controllers: int = 3, each: int = 3) -> None:
         """`each` machines can be had of every type, zone and kind."""
+        # The next limits in the settings, and nodes that run a version which knows of none.
+        self.limits: dict[str, float] | None = None
+        self.old: set[str] = set()
         self.nodes = [f"loom-{number}" for number in range(controllers)]
         self.loop = SimLoop()
         asyncio.set_event_loop(self.loop)
         self.rng = random.Random(seed)
         random.seed(seed)
         self.rules = Rules(self.loop, {"red": 12.0, "blue": float("inf")}, 30.0)
-        self.store = StateStore(self.loop, self.rng, 8, 8 * 1024)
+        self.store = StateStore(self.loop, self.rng, 8, 8 * 1024, 30.0)
         capacity = {(t["name"], zone, spot): each for t in TYPES for zone in ZONES for spot in (True, False)}
         self.cloud = CloudStand(self.loop, self.rng, TYPES, 3.0, capacity)
         self.cloud.born = self._born
@@ -200,7 +226,7 @@
         self.ports[node] = [Port(self.store, Trouble()), Port(self.cloud, Trouble())]
         state, cloud = self.ports[node]
         controller = Controller(
-            settings(node, self.nodes),
+            settings(node, self.nodes, None if node in self.old else self.limits),
             operators.Operators(operators.Raw()),
             lambda: self.loop.clock(self.drift[node]),
             state,
