--- /dev/null
+++ b/tests/test_rollout.py
@@ -0,0 +1,290 @@
+"""An upgrade while the service serves, and the store's limits that fall after it.
+
+A node in `world.old` stands for the earlier version: it knows of no next limits, writes slots
+as large as the present ones allow, and is asked for no service. What it must be able to read
+of the newer version's records is judged by tests/test_versions.py.
+"""
+
+import asyncio
+import json
+from functools import partial
+from typing import Any
+
+import pytest
+from hypothesis import HealthCheck, Phase, given, settings
+from hypothesis import strategies as st
+
+from elmthread.ledger.log import SLOTS, Slots, slot_bytes
+from tests.test_world import TROUBLES, befall, day, restore, start
+from tests.world.world import NEXT, NODES, ZONES, World, daemon, job
+
+TYPES_MANY = 12
+
+
+def begin_old(world: World) -> None:
+    world.old, world.limits = set(world.nodes), dict(NEXT)
+
+
+def fall(world: World) -> None:
+    world.store.limit(NEXT["value_kb"], int(NEXT["txn_ops"]), NEXT["write_rps"])
+
+
+async def upgrade(world: World, order: list[str], pause: float, trouble: Any = None) -> None:
+    """Kills a node at a time; it comes back new. One that dies before its turn comes back old."""
+    for node in order:
+        if trouble is not None:
+            await trouble()
+        if node in world.controllers:
+            world.kill(node)
+        world.old.discard(node)
+        world.loop.call_later(world.rng.uniform(0.2, 8.0), partial(start, world, node))
+        await asyncio.sleep(pause)
+
+
+def sizes(world: World) -> list[int]:
+    return [
+        len(json.dumps(value, separators=(",", ":")))
+        for key, (value, _, _) in world.store.items.items()
+        if key.startswith(SLOTS)
+    ]
+
+
+def records(world: World) -> dict[str, Any]:
+    slots = [(k, v, stamp) for k, (v, stamp, _) in world.store.items.items() if k.startswith(SLOTS)]
+    return Slots(slot_bytes(8)).load(slots)
+
+
+@settings(
+    max_examples=25,
+    deadline=None,
+    database=None,
+    derandomize=True,
+    phases=[Phase.generate],
+    suppress_health_check=list(HealthCheck),
+)
+@given(
+    st.integers(0, 10_000),
+    st.permutations(NODES),
+    st.lists(st.tuples(st.sampled_from(TROUBLES), st.floats(0.5, 12.0)), min_size=6, max_size=9),
+    st.floats(0.0, 40.0),
+)
+def test_rules_hold_through_an_upgrade_and_falling_limits(
+    number: int, order: list[str], troubles: list[tuple[str, float]], falls: float
+) -> None:
+    async def script(world: World) -> None:
+        for zone in ZONES:
+            world.rent("small", zone)
+        ids = []
+        for index in range(6):
+            spec = job(
+                index,
+                crew="red" if index % 3 else "blue",
+                urgency=world.rng.choice(["high", "normal", "best_effort"]),
+                pieces=world.rng.randint(1, 9),
+                true_s=world.rng.uniform(2, 30),
+                scatter=index == 4,
+                snapshot_every_s=5.0 if index % 2 else 0.0,
+                snapshot_s=1.0 if index % 2 else 0.0,
+            )
+            if await world.submit(spec):
+                ids.append(spec["name_id"])
+        waiting = iter(troubles)
+
+        async def trouble() -> None:
+            kind, pause = next(waiting)
+            await befall(world, kind, ids)
+            await asyncio.sleep(pause)
+
+        await upgrade(world, order, world.rng.uniform(0.5, 12.0), trouble)
+        # Nothing new is asked for before all nodes are new; then the limits fall, at any moment.
+        world.loop.call_later(falls, fall, world)
+        services = []
+        for index in range(20, 23):
+            spec = daemon(index, crew="red" if index == 20 else "blue", pieces=3, true_s=world.rng.choice([25.0, 1e9]))
+            if await world.submit(spec):
+                services.append(spec["name_id"])
+        for kind, pause in waiting:
+            await befall(world, kind, ids + services)
+            await asyncio.sleep(pause)
+            for job_id in ids + services:
+                await world.poll(job_id)
+        restore(world)
+        await asyncio.sleep(max(0.0, 41 - falls))
+        states = await world.until_over(ids, 400)
+        assert all(state in ("done", "cancelled") for state in states.values()), states
+        # What was not withdrawn serves again, all of it.
+        for job_id in services:
+            if world.rules.told.get(job_id) == "cancelled":
+                continue
+            for _ in range(600):
+                if world.rules.serving(job_id) == 3:
+                    break
+                await asyncio.sleep(0.2)
+            else:
+                raise AssertionError(f"{job_id}: {world.rules.serving(job_id)} of 3 replicas")
+
+    day(script, seed=number, before=begin_old)
+
+
+def test_an_upgrade_is_noticed_no_more_than_a_rolling_restart() -> None:
+    """No task is started again for it, and every question is answered within seconds."""
+
+    async def script(world: World) -> None:
+        ids = []
+        for number in range(6):
+            assert await world.submit(job(number, true_s=60.0, expected_s=60.0, pieces=3))
+            ids.append(f"run-{number:06d}")
+        await asyncio.sleep(10)
+        # The leader first, and twice: it is back old once before its turn.
+        leader = world.leader
+        assert leader is not None
+        node = leader.api._node
+        world.kill(node)
+        world.loop.call_later(1, start, world, node)
+        await asyncio.sleep(8)
+        order = [node] + [other for other in world.nodes if other != node]
+        await upgrade(world, order, 12.0)
+        fall(world)
+        for number in range(20, 22):
+            assert await world.submit(daemon(number), 10)
+        states = await world.until_over(ids, 120)
+        assert set(states.values()) == {"done"}
+
+    world = day(script, machines=10, before=begin_old)
+    assert max(world.rules.starts.values()) == 1
+
+
+def test_slots_of_larger_values_are_carried_over_bit_by_bit() -> None:
+    async def script(world: World) -> None:
+        for number in range(120):
+            assert await world.submit(job(number, pieces=2, true_s=2.0, expected_s=2.0))
+        assert max(sizes(world)) > NEXT["value_kb"] * 1024
+        await world.until_over([f"run-{number:06d}" for number in range(120)], 300)
+        before = {key: value for key, value in records(world).items() if key.startswith("j/")}
+        await upgrade(world, list(world.nodes), 10.0)
+        fall(world)
+        # Whatever is written takes some of the large slots along.
+        for number in range(200, 300):
+            assert await world.submit(job(number, pieces=2, true_s=2.0, expected_s=2.0))
+        await world.until_over([f"run-{number:06d}" for number in range(200, 300)], 300)
+        # Large slots may still stand there until they are written over, but nothing in them is current.
+        slots = Slots(slot_bytes(NEXT["value_kb"]))
+        slots.load((k, v, stamp) for k, (v, stamp, _) in world.store.items.items() if k.startswith(SLOTS))
+        assert not slots._large
+        after = records(world)
+        assert {key: after[key] for key in before} == before
+
+    day(script, before=begin_old, controllers=2)
+
+
+def test_records_that_larger_values_took_stay_readable_and_can_be_ended() -> None:
+    names = [f"type-{number:04d}-of-some-length" for number in range(99)]
+
+    async def script(world: World) -> None:
+        # A list of machine types that takes 3 KB, and tasks so small that a hundred and more are on a machine.
+        long = job(1, builds=["large", *names], pieces=2, true_s=200.0, expected_s=200.0)
+        assert await world.submit(long)
+        assert await world.submit(job(2, pieces=320, cpus=0.1, ram_gb=0.05, true_s=60.0, expected_s=60.0))
+        await asyncio.sleep(12)
+        most = max(len([task for name, task in world.rules.where if name == machine]) for machine in world.workers)
+        assert most > 100
+        await upgrade(world, list(world.nodes), 6.0)
+        fall(world)
+        await asyncio.sleep(3)
+        assert await world.submit(job(3, pieces=150, cpus=0.1, ram_gb=0.05, true_s=10.0, expected_s=10.0))
+        # What could never be stored is refused at once, not taken and lost.
+        answer = await world.ask("POST", "/submissions", long | {"name_id": "run-000004"})
+        assert answer.status == 422 and "larger" in answer.body["error"]
+        assert await world.poll("run-000001") == "running"
+        assert await world.withdraw("run-000001", 5) == "cancelled"
+        states = await world.until_over(["run-000002", "run-000003"], 300)
+        assert set(states.values()) == {"done"}
+        world.kill(world.leader.api._node)  # type: ignore[union-attr]
+        await asyncio.sleep(6)
+        assert await world.poll("run-000001") == "cancelled"
+
+    world = day(script, before=begin_old)
+    # Machines and done marks were taken over: nothing was run again.
+    assert max(world.rules.starts.values()) == 1
+
+
+def test_a_machine_holds_what_its_record_really_takes() -> None:
+    """A bound by the longest names and numbers would leave large machines half empty at 2 KiB."""
+
+    async def script(world: World) -> None:
+        world.rent("large", "east")
+        await asyncio.sleep(5)
+        assert await world.submit(job(1, pieces=90, cpus=0.17, ram_gb=0.1, true_s=30.0, expected_s=30.0))
+        await asyncio.sleep(10)
+        assert max(len(worker.tasks) for worker in world.workers.values()) >= 80
+        assert (await world.until_over(["run-000001"], 120)) == {"run-000001": "done"}
+
+    def before(world: World) -> None:
+        world.limits = dict(NEXT)
+        fall(world)
+        world.cloud.capacity = {}
+
+    day(script, machines=0, before=before)
+
+
+def test_machine_types_that_are_more_than_a_value_stand_in_parts() -> None:
+    async def script(world: World) -> None:
+        assert await world.submit(job(1))
+        await asyncio.sleep(5)
+        view = records(world)
+        assert "t/types" not in view and len([key for key in view if key.startswith("y/")]) == TYPES_MANY + 2
+        # A new leader knows them from the store alone.
+        world.cloud.down = True
+        world.kill(world.leader.api._node)  # type: ignore[union-attr]
+        await asyncio.sleep(6)
+        assert await world.submit(job(2, pieces=1), 5)
+        assert world.leader is not None and world.leader.leader is not None
+        assert len(world.leader.leader.fleet.types) == TYPES_MANY + 2
+        world.cloud.down = False
+
+    def before(world: World) -> None:
+        world.limits = dict(NEXT)
+        fall(world)
+        world.cloud.types = [*world.cloud.types] + [
+            world.cloud.types[0] | {"name": f"small-{number}"} for number in range(TYPES_MANY)
+        ]
+
+    day(script, before=before)
+
+
+@pytest.mark.parametrize("machines", [300])
+def test_the_stores_load_at_the_lower_limits_and_full_size(machines: int) -> None:
+    """Slots, time of a load, backlog and time to an answer, with the limits enforced throughout."""
+
+    async def script(world: World) -> None:
+        waits = []
+        ids = []
+        for number in range(40):
+            asked = world.loop.now
+            assert await world.submit(job(number, pieces=60, true_s=12.0, expected_s=12.0, kit=f"img-{number % 5}"))
+            waits.append(world.loop.now - asked)
+            ids.append(f"run-{number:06d}")
+            await asyncio.sleep(1.0)
+        assert sorted(waits)[len(waits) * 9 // 10] < 0.5, waits
+        leader = world.leader
+        assert leader is not None and leader.leader is not None
+        # What waits to be written has not waited for long.
+        backlog = [change.since.total_seconds() for change in leader.leader.writer._waiting.values()]
+        now = leader._clock().total_seconds()
+        assert not backlog or now - min(backlog) < 8
+        assert len(sizes(world)) < 250
+        world.kill(leader.api._node)
+        crashed = world.loop.now
+        while world.leader is None or world.leader.leader is None or not world.leader.leader.loaded:
+            await asyncio.sleep(0.1)
+        assert world.loop.now - crashed < 6
+        states = await world.until_over(ids, 300)
+        assert set(states.values()) == {"done"}
+
+    def before(world: World) -> None:
+        world.limits = dict(NEXT)
+        fall(world)
+
+    world = day(script, machines=machines, each=machines, before=before)
+    assert world.store.too_many <= 2
+    assert sum(world.rules.starts.values()) < 1.02 * len(world.rules.starts)
--- a/tests/world/loop.py
+++ b/tests/world/loop.py
@@ -105,5 +105,7 @@
         rest = asyncio.all_tasks(loop)
         for task in rest:
             task.cancel()
-        loop.run_until_complete(asyncio.gather(*rest, return_exceptions=True))
+        if rest:
+            # Work of a node that was killed while it stood still never ends.
+            loop.run_until_complete(asyncio.wait(rest, timeout=5))
         loop.close()
--- a/tests/world/world.py
+++ b/tests/world/world.py
@@ -257,7 +257,15 @@
 
     async def within(self, node: str, work: Coroutine[Any, Any, T]) -> T:
         """Runs a part of a node's work where it stands still with the node."""
-        return await self.loop.create_task(work, context=self.contexts[node])
+        task = self.loop.create_task(work, context=self.contexts[node])
+        try:
+            # Not awaited itself: a node that is killed while it stands still never ends its work,
+            # and who waits for it must not wait for ever.
+            await asyncio.wait({task})
+        except asyncio.CancelledError:
+            task.cancel()
+            raise
+        return task.result()
 
     async def serve(self, node: str, request: Request) -> Response:
         """A request at a node's door, as its server handles it."""
