--- a/tests/test_rollout.py
+++ b/tests/test_rollout.py
@@ -7,6 +7,8 @@
 
 import asyncio
 import json
+import random
+from collections.abc import Callable
 from functools import partial
 from typing import Any
 
@@ -70,6 +72,28 @@
 )
 def test_rules_hold_through_an_upgrade_and_falling_limits(
     number: int, order: list[str], troubles: list[tuple[str, float]], falls: float
+) -> None:
+    rollout(number, order, troubles, falls, begin_old)
+
+
+def upgraded_day(seed: int, earlier: str) -> None:
+    """The same with a version that really is an earlier one, drawn by the seed alone."""
+    rng = random.Random(seed)
+    troubles = [(rng.choice(TROUBLES), rng.uniform(0.5, 12.0)) for _ in range(8)]
+
+    def before(world: World) -> None:
+        begin_old(world)
+        world.earlier = earlier
+
+    rollout(seed, rng.sample(NODES, len(NODES)), troubles, rng.uniform(0.0, 40.0), before)
+
+
+def rollout(
+    number: int,
+    order: list[str],
+    troubles: list[tuple[str, float]],
+    falls: float,
+    before: Callable[[World], None],
 ) -> None:
     async def script(world: World) -> None:
         for zone in ZONES:
@@ -123,7 +147,7 @@
             else:
                 raise AssertionError(f"{job_id}: {world.rules.serving(job_id)} of 3 replicas")
 
-    day(script, seed=number, before=begin_old)
+    day(script, seed=number, before=before)
 
 
 def test_an_upgrade_is_noticed_no_more_than_a_rolling_restart() -> None:
--- /dev/null
+++ b/tests/test_versions.py
@@ -0,0 +1,189 @@
+"""Two versions on each other's data: what each stores and says, read by the other.
+
+The samples were made by running the version in production in the simulated world of its own
+tests. What the newer version writes is read by a strict model of that version's reader.
+"""
+
+import asyncio
+import json
+from pathlib import Path
+from typing import Any
+
+import msgspec
+import pytest
+
+from elmthread.intake.messages import read_submission
+from elmthread.ledger.log import SLOTS, Slots, slot_bytes
+from elmthread.peers.messages import Ask, Lead, Reply, decode, encode
+from tests.test_rollout import begin_old, fall, upgrade
+from tests.test_world import befall, day, restore
+from tests.world import earlier
+from tests.world.world import World, daemon, job
+
+SAMPLES: dict[str, Any] = json.loads((Path(__file__).parent / "samples" / "production.json").read_text())
+
+
+def sample_store() -> dict[str, Any]:
+    return {key: value for key, value, _ in SAMPLES["store"]}
+
+
+def test_the_model_reads_what_the_earlier_version_wrote() -> None:
+    view = earlier.read(sample_store())
+    assert set(SAMPLES["told"]) == set(view.jobs)
+    for job_id, told in SAMPLES["told"].items():
+        assert view.jobs[job_id]["state"] in ([told] if told in ("done", "cancelled") else ["open", "done"])
+    assert view.types and view.machines
+    # All that ran then is accounted for, but for what had just ended.
+    done = set(SAMPLES["done"])
+    assert {(machine, task) for machine, task in SAMPLES["where"] if task not in done} <= view.holds
+    for job_id, marked in view.done.items():
+        assert {f"{job_id}/{task}" for task in marked} <= done
+    for text in SAMPLES["frames"]:
+        earlier.frame(text)
+
+
+def test_the_model_refuses_what_the_earlier_version_could_not_read() -> None:
+    """A reader that reads anything would find nothing."""
+    spec = {name: value for name, value in daemon(1).items() if name not in ("true_s", "ends")}
+    bad: list[dict[str, Any]] = [
+        {"j/run-000001": {"state": "open", "tasks": 3, "at": 1.0, "chunk": 64, "spec": spec}},
+        {"j/run-000001": {"state": "standing", "tasks": 3}},
+        {"j/run-000001": {"state": "done", "tasks": 3, "form": "batch"}},
+        {"m/m-000001": {"build": "small", "zone": "east"}},
+        {"m/m-000001": {"build": "small", "zone": "east", "spot": False, "holds": {"run-000001": [1]}}},
+        {"t/types": [{"name": "small"}]},
+    ]
+    for records in bad:
+        with pytest.raises((earlier.Unreadable, KeyError)):
+            earlier.read({"s/0000": {"number": 1, "text": json.dumps(records)}})
+    with pytest.raises(earlier.Unreadable):
+        earlier.frame('{"kind":"lead","leader":"loom-0","token":3,"version":2}')
+
+
+def test_the_newer_version_loads_what_the_earlier_one_wrote() -> None:
+    view = earlier.read(sample_store())
+
+    async def script(world: World) -> None:
+        for job_id, record in view.jobs.items():
+            state = await world.poll(job_id)
+            assert state == record["state"] or (record["state"] == "open" and state in ("queued", "running"))
+        assert world.leader is not None and world.leader.leader is not None
+        book = world.leader.leader.book
+        holds = [hold for one in book.machines.values() for hold in one.holds.values()]
+        held = {(hold.machine.name, f"{hold.job.id}/{hold.task}") for hold in holds}
+        assert held == view.holds
+        for job_id, marked in view.done.items():
+            known = book.jobs[job_id]
+            assert {task for task in range(known.total) if known.is_done(task)} == marked
+        assert set(world.leader.leader.fleet.types) == {kind["name"] for kind in view.types}
+
+    def before(world: World) -> None:
+        world.limits = {"value_kb": 2.0, "txn_ops": 4, "write_rps": 15.0}
+        for key, value, stamp in SAMPLES["store"]:
+            if key != "leader":
+                world.store.items[key] = (value, stamp, None)
+                world.store.revision = max(world.store.revision, stamp)
+        for job_id, record in view.jobs.items():
+            world.rules.submitted({**job(1), **record.get("spec", {}), "name_id": job_id, "pieces": record["tasks"]})
+        world.rules.finished |= set(SAMPLES["done"])
+        world.rules.asked_to_cancel |= {job_id for job_id, one in view.jobs.items() if one["state"] == "cancelled"}
+
+    async def quickly(world: World) -> None:
+        # Before leases are judged: what is loaded, not what has become of it since.
+        while world.leader is None or world.leader.leader is None or not world.leader.leader.loaded:
+            await asyncio.sleep(0.05)
+        await script(world)
+
+    day(quickly, machines=0, before=before)
+
+
+def test_messages_between_controllers_are_those_of_the_earlier_version() -> None:
+    for text in SAMPLES["frames"]:
+        message = decode(text.encode())
+        assert json.loads(encode(message)) == json.loads(text)
+    spec = {name: value for name, value in job(1).items() if name != "true_s"}
+    for message in (
+        Lead("loom-1", 41, "loom-0", 2, [("m-000001", 1, 88)], 46),
+        Ask(5, "submit", "run-000001", 41, msgspec.to_builtins(read_submission(spec))),
+        Reply(5, 201, {"name_id": "run-000001"}, None, 41),
+    ):
+        earlier.frame(encode(message).decode())
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_an_earlier_leader_finds_all_that_the_newer_version_stored(seed: int) -> None:
+    """At any moment before all nodes are new, whoever leads: nothing is missed or mistaken."""
+
+    async def script(world: World) -> None:
+        looks = 0
+
+        def look() -> None:
+            nonlocal looks
+            looks += 1
+            view = earlier.read({key: value for key, (value, _, _) in world.store.items.items()})
+            for job_id, told in world.rules.told.items():
+                state = view.jobs[job_id]["state"]
+                assert state == told or (told not in ("done", "cancelled") and state in ("open", "done", "cancelled"))
+            for job_id, marked in view.done.items():
+                assert {f"{job_id}/{task}" for task in marked} <= world.rules.finished
+            # No task is on a machine that the store does not name for it, unless its end is stored.
+            for machine, task in world.rules.where:
+                job_id, _, index = task.rpartition("/")
+                over = view.jobs[job_id]["state"] == "done" or int(index) in view.done.get(job_id, ())
+                assert (machine, task) in view.holds or over, (machine, task)
+            if world.leader is not None and world.leader.leader is not None and world.leader.leader.loaded:
+                known = Slots(slot_bytes(8)).load(
+                    (k, v, stamp) for k, (v, stamp, _) in world.store.items.items() if k.startswith(SLOTS)
+                )
+                assert {key[2:] for key in known if key.startswith("j/")} == set(view.jobs)
+
+        ids = []
+        for number in range(24):
+            spec = job(
+                number,
+                crew="red" if number % 3 else "blue",
+                pieces=(pieces := world.rng.choice([1, 4, 300])),
+                cpus=0.1 if pieces == 300 else 1.0,
+                ram_gb=0.1,
+                true_s=world.rng.uniform(2, 20),
+                builds=["large", *(f"other-{n}" for n in range(20))] if number % 5 == 0 else None,
+                due_s=60.0 if number % 4 == 0 else None,
+            )
+            if await world.submit(spec):
+                ids.append(spec["name_id"])
+
+        async def trouble() -> None:
+            await befall(world, world.rng.choice(["kill", "back", "still", "lossy", "die", "cancel", "step_down"]), ids)
+            for _ in range(20):
+                await asyncio.sleep(0.3)
+                look()
+
+        # Up to the last but one: whichever leads, an earlier version may be next.
+        await upgrade(world, world.nodes[:2], 3.0, trouble)
+        for _ in range(60):
+            await asyncio.sleep(0.5)
+            look()
+        restore(world)
+        await upgrade(world, world.nodes[2:], 10.0)
+        fall(world)
+        states = await world.until_over(ids, 400)
+        assert all(state in ("done", "cancelled") for state in states.values()), states
+        assert looks > 90
+
+    day(script, seed=seed, before=begin_old)
+
+
+def test_the_first_service_is_written_only_when_one_is_asked_for() -> None:
+    """Users ask for none before all nodes are new, so the first that is stored says that they are."""
+
+    async def script(world: World) -> None:
+        assert await world.submit(job(1))
+        await asyncio.sleep(5)
+        earlier.read({key: value for key, (value, _, _) in world.store.items.items()})
+        # A node that is down at that moment keeps nobody from it.
+        world.kill(next(node for node in world.nodes if world.controllers[node] is not world.leader))
+        assert await world.submit(daemon(2), 5)
+        with pytest.raises(earlier.Unreadable):
+            earlier.read({key: value for key, (value, _, _) in world.store.items.items()})
+
+    day(script)
--- /dev/null
+++ b/tests/world/earlier.py
@@ -0,0 +1,157 @@
+"""What the version in production reads from the store and from its peers: a strict, plain model.
+
+Written from that version's records, and shown against samples that it wrote itself
+(`tests/samples/production.json`). It takes a value of a wrong type, a missing field, a field
+that it does not know or a form of job that it does not know for a fault: until every node is
+new, the newer version may write nothing in which the earlier one sees less, or something else.
+"""
+
+import json
+from dataclasses import dataclass, field
+from typing import Any
+
+JOB = {"state": str, "tasks": int, "at": float, "chunk": int, "spec": dict}
+SPEC = {
+    "name_id": str,
+    "docket": str,
+    "crew": str,
+    "form": str,
+    "urgency": str,
+    "pieces": int,
+    "cpus": float,
+    "cards": float,
+    "ram_gb": float,
+    "kit": str,
+    "size_gb": float,
+    "one_zone": bool,
+    "scatter": bool,
+    "loaners": bool,
+    "expected_s": float,
+    "snapshot_every_s": float,
+    "snapshot_s": float,
+    "builds": list,
+    "yard": str,
+    "due_s": float,
+}
+SPEC_OPTIONAL = {"builds", "yard", "due_s"}
+MACHINE = {"build": str, "zone": str, "spot": bool, "pool": bool, "holds": dict}
+RENTAL = {"build": str, "zone": str, "spot": bool, "pool": bool}
+TYPE = {
+    "name": str,
+    "cpus": float,
+    "cards": float,
+    "ram_gb": float,
+    "cache_gb": float,
+    "fetch_gb_per_s": float,
+    "rate": float,
+    "spot_price": float,
+    "ready_s": float,
+    "yards": list,
+}
+FRAMES = {
+    "lead": {"leader": (str, type(None)), "token": int, "node": str, "strays": int, "some": list, "machines": int},
+    "ask": {
+        "number": int,
+        "verb": str,
+        "job_id": str,
+        "token": int,
+        "body": (dict, type(None)),
+        "fault": (str, type(None)),
+    },
+    "reply": {
+        "number": int,
+        "status": int,
+        "body": (dict, type(None)),
+        "retry_after_s": (float, type(None)),
+        "token": int,
+    },
+}
+
+
+class Unreadable(Exception):
+    """The earlier version would not read this, or would read it as something else."""
+
+
+@dataclass
+class View:
+    """What an earlier leader would find."""
+
+    jobs: dict[str, dict[str, Any]] = field(default_factory=dict)
+    done: dict[str, set[int]] = field(default_factory=dict)
+    machines: dict[str, dict[str, Any]] = field(default_factory=dict)
+    # (machine, job/task) for all that may run.
+    holds: set[tuple[str, str]] = field(default_factory=set)
+    types: list[dict[str, Any]] = field(default_factory=list)
+
+
+def fields(what: str, value: Any, known: dict[str, Any], needed: set[str]) -> dict[str, Any]:
+    if not isinstance(value, dict) or not needed <= value.keys():
+        raise Unreadable(f"{what}: {value!r}")
+    for name, found in value.items():
+        if name not in known:
+            raise Unreadable(f"{what}: unknown field {name}")
+        wanted = known[name]
+        whole = wanted is float and isinstance(found, int)
+        if isinstance(found, bool) is not (wanted is bool) or not (isinstance(found, wanted) or whole):
+            raise Unreadable(f"{what}: {name} is {found!r}")
+    return value
+
+
+def frame(text: str) -> dict[str, Any]:
+    value: dict[str, Any] = json.loads(text)
+    kind = value.pop("kind")
+    return fields(kind, value, FRAMES[kind], {"token"} if kind == "lead" else {"number"})
+
+
+def newest(store: dict[str, Any]) -> dict[str, Any]:
+    """The newest version of each record, of the slot with the highest number that has one."""
+    found: dict[str, tuple[int, Any]] = {}
+    for key, value in store.items():
+        if not key.startswith("s/"):
+            continue
+        slot = fields(key, value, {"number": int, "text": str}, {"number", "text"})
+        for name, record in json.loads(slot["text"]).items():
+            if name not in found or found[name][0] < slot["number"]:
+                found[name] = (slot["number"], record)
+    return {name: record for name, (_, record) in found.items() if record is not None}
+
+
+def read(store: dict[str, Any]) -> View:
+    view = View()
+    records = newest(store)
+    for key, record in records.items():
+        if key.startswith("j/"):
+            fields(key, record, JOB, {"state", "tasks"})
+            if record["state"] not in ("open", "done", "cancelled"):
+                raise Unreadable(f"{key}: {record['state']}")
+            if record["state"] != "done":
+                spec = fields(key, record["spec"], SPEC, SPEC.keys() - SPEC_OPTIONAL)
+                if spec["form"] != "batch":
+                    raise Unreadable(f"{key}: form {spec['form']}")
+            view.jobs[key[2:]] = record
+    for key, record in records.items():
+        if key.startswith("d/"):
+            _, job_id, chunk = key.split("/")
+            job = view.jobs.get(job_id)
+            if job is not None and job["state"] == "open":
+                bits = int.from_bytes(bytes.fromhex(fields(key, record, {"marks": str}, {"marks"})["marks"]), "little")
+                low = int(chunk) * job["chunk"]
+                marked = {low + n for n in range(bits.bit_length()) if bits >> n & 1}
+                view.done.setdefault(job_id, set()).update(n for n in marked if n < job["tasks"])
+        elif key.startswith("m/"):
+            machine = fields(key, record, MACHINE, {"build", "zone", "spot"})
+            view.machines[key[2:]] = machine
+            for job_id, numbers in machine.get("holds", {}).items():
+                if len(numbers) % 2 or not all(isinstance(number, int) for number in numbers):
+                    raise Unreadable(f"{key}: {numbers}")
+                state = view.jobs.get(job_id, {"state": "done"})["state"]
+                view.holds |= {
+                    (key[2:], f"{job_id}/{task}")
+                    for task in numbers[::2]
+                    if state != "done" and task not in view.done.get(job_id, ())
+                }
+        elif key.startswith("r/"):
+            fields(key, record, RENTAL, {"build", "zone", "spot"})
+        elif key.startswith("t/"):
+            view.types = [fields(key, one, TYPE, set(TYPE)) for one in record]
+    return view
--- a/tests/world/world.py
+++ b/tests/world/world.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextvars
+import importlib
 import random
 from collections.abc import Coroutine
 from dataclasses import replace
@@ -12,9 +13,8 @@
 
 from elmthread.common.http import UNSURE, Request, Response
 from elmthread.controller import Controller
-from elmthread.peers.link import NotReached, Peers
+from elmthread.peers.link import Peers
 from elmthread.peers.messages import Ask, Reply
-from elmthread.settings import operators, platform
 from tests.world.loop import NODE, SimLoop
 from tests.world.rules import Rules
 from tests.world.services import CloudStand, Port, Rented, StateStore, Trouble
@@ -99,7 +99,7 @@
 NEXT = {"value_kb": 2.0, "txn_ops": 4, "write_rps": 15.0}
 
 
-def settings(node: str, nodes: list[str], limits: dict[str, float] | None = None) -> platform.Platform:
+def settings(node: str, nodes: list[str], limits: dict[str, float] | None = None) -> str:
     others = "".join(
         f'[[others]]\nnode_name = "{other}"\nsite = "east"\naddress = "10.0.0.1:8081"\n'
         for other in nodes
@@ -107,7 +107,7 @@
     )
     next_limits = "" if limits is None else "[facts.state.next]\n"
     next_limits += "".join(f"{name} = {value}\n" for name, value in (limits or {}).items())
-    return platform.parse(SETTINGS.format(node=node, others=others, next=next_limits))
+    return SETTINGS.format(node=node, others=others, next=next_limits)
 
 
 def job(number: int, **changes: Any) -> dict[str, Any]:
@@ -155,9 +155,11 @@
 class World:
     def __init__(self, seed: int = 1, controllers: int = 3, each: int = 3) -> None:
         """`each` machines can be had of every type, zone and kind."""
-        # The next limits in the settings, and nodes that run a version which knows of none.
+        # The next limits in the settings, and nodes that run a version which knows of none: this
+        # one with other settings, or really an earlier one (`tests/both.py`).
         self.limits: dict[str, float] | None = None
         self.old: set[str] = set()
+        self.earlier: str | None = None
         self.nodes = [f"loom-{number}" for number in range(controllers)]
         self.loop = SimLoop()
         asyncio.set_event_loop(self.loop)
@@ -192,10 +194,24 @@
 
     # Controllers
 
+    def code(self, node: str, part: str) -> Any:
+        """A module of the version that the node runs."""
+        old = self.earlier is not None and node in self.old
+        return importlib.import_module(f"{self.earlier if old else 'elmthread'}.{part}")
+
+    def carried(self, message: Any, node: str) -> Any:
+        """A message between controllers, as the version at the other end reads it."""
+        if self.earlier is None:
+            return message
+        sender = importlib.import_module(type(message).__module__)
+        return self.code(node, "peers.messages").decode(sender.encode(message))
+
     def start(self, node: str) -> Controller:
         world = self
+        peers: type[Peers] = self.code(node, "peers.link").Peers
+        not_reached: type[Exception] = self.code(node, "peers.link").NotReached
 
-        class Links(Peers):
+        class Links(peers):  # type: ignore[valid-type, misc]
             """Peer links without sockets."""
 
             def reaches(self, other: str) -> bool:
@@ -204,29 +220,34 @@
             async def ask(self, other: str, ask: Ask, timeout: timedelta) -> Reply:
                 await asyncio.sleep(0.002)
                 if not world.reach(node, other):
-                    raise NotReached(other)
+                    raise not_reached(other)
+                heard = world.carried(ask, other)
                 try:
                     async with asyncio.timeout(timeout.total_seconds()):
-                        reply = await world.within(other, world.controllers[other].api.answer(ask))
+                        reply = await world.within(other, world.controllers[other].api.answer(heard))
                 except TimeoutError:
-                    raise NotReached(other) from None
+                    raise not_reached(other) from None
                 if not world.reach(node, other):
-                    raise NotReached(other)
-                return reply
+                    raise not_reached(other)
+                answer: Reply = world.carried(reply, node)
+                return answer
 
             def tell(self) -> None:
                 lead = self._say()
                 for other in world.nodes:
                     if other != node and world.reach(node, other):
                         hear = world.controllers[other].hear
-                        world.loop.call_later(0.003, hear, lead, context=world.contexts[other])
+                        heard = world.carried(lead, other)
+                        world.loop.call_later(0.003, hear, heard, context=world.contexts[other])
 
         context = self.contexts[node] = contextvars.copy_context()
         context.run(NODE.set, node)
         self.ports[node] = [Port(self.store, Trouble()), Port(self.cloud, Trouble())]
         state, cloud = self.ports[node]
-        controller = Controller(
-            settings(node, self.nodes, None if node in self.old else self.limits),
+        limits = None if node in self.old and self.earlier is None else self.limits
+        operators = self.code(node, "settings.operators")
+        controller: Controller = self.code(node, "controller").Controller(
+            self.code(node, "settings.platform").parse(settings(node, self.nodes, limits)),
             operators.Operators(operators.Raw()),
             lambda: self.loop.clock(self.drift[node]),
             state,
