--- a/src/elmthread/agents/tests/test_health.py
+++ b/src/elmthread/agents/tests/test_health.py
@@ -2,7 +2,7 @@
 
 from datetime import UTC, datetime
 
-from elmthread.agents.health import FIRST_PAUSE, Health
+from elmthread.agents.health import FIRST_PAUSE, STEADY, Health
 from elmthread.common.clock import ZERO, seconds
 from elmthread.intake.messages import read_submission
 from elmthread.placement.book import Book, HoldState, Job, Machine, MachineState
@@ -81,3 +81,25 @@
     assert not machine.suspect
     bench.health.failed(machine, bench.job(2), seconds(1))
     assert machine.suspect
+
+
+def test_replica_that_served_for_long_is_started_again_at_once_and_one_that_did_not_ever_later() -> None:
+    bench = Bench()
+    job, machine = bench.job(1, tasks=2), bench.machine(1)
+    pauses = []
+    now = seconds(0)
+    for _ in range(8):
+        bench.runs(job, machine)
+        hold = next(iter(job.live.values()))
+        hold.started_at = now
+        bench.health.ended(hold, now + seconds(1))
+        pauses.append((job.retry_at - now).total_seconds() - 1)
+        bench.book.drop(hold, now)
+        now = job.retry_at
+    assert pauses[:4] == [2, 4, 8, 16] and max(pauses) == 120
+    bench.runs(job, machine)
+    hold = next(iter(job.live.values()))
+    hold.started_at = now
+    bench.health.ended(hold, now + STEADY)
+    assert not job.backoff and job.retry_at <= now + STEADY
+    assert not machine.suspect and not machine.failures
--- a/src/elmthread/ledger/tests/test_writer.py
+++ b/src/elmthread/ledger/tests/test_writer.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import random
+from functools import partial
 from typing import Any
 
 import pytest
@@ -15,6 +16,7 @@
 from elmthread.ledger.pacing import Bucket
 from elmthread.ledger.records import LEADER, chunk_tasks
 from elmthread.ledger.writer import Rank, Writer
+from tests.world.faults import errors_logged
 from tests.world.loop import SimLoop, play
 from tests.world.services import Port, StateStore, Trouble
 
@@ -234,3 +236,69 @@
 def test_records_fit_the_value_limit() -> None:
     for kilobytes in (1.0, 8.0, 16.0):
         assert chunk_tasks(kilobytes) / 4 + 50 < kilobytes * 1024
+
+
+def test_a_refused_record_is_found_and_holds_up_no_other() -> None:
+    """The store takes less than the settings say: one record can't be stored, leadership goes on."""
+    bench = Bench()
+    stored: list[str] = []
+
+    async def main() -> None:
+        bench.store.limit(1.0, 2, 30.0)
+        task = bench.loop.create_task(bench.writer.run())
+        for number in range(12):
+            key, text = f"k/{number}", "x" * (1500 if number == 5 else 100)
+            bench.writer.write(key, Rank.ASSIGN, partial(str, text), partial(stored.append, key))
+        await asyncio.sleep(20)
+        assert not task.done()
+        task.cancel()
+
+    with errors_logged() as told:
+        play(main(), bench.loop)
+    assert set(bench.read()) == {f"k/{number}" for number in range(12) if number != 5}
+    assert sorted(stored) == sorted(bench.read())
+    assert not bench.lost
+    assert [line for line in told if "refuses" in line] and [line for line in told if "k/5 can't be stored" in line]
+
+
+def test_changes_beyond_the_rate_wait_and_leadership_goes_on() -> None:
+    bench = Bench(rate=30.0)
+
+    async def main() -> None:
+        bench.store.limit(2.0, 8, 4.0)
+        task = bench.loop.create_task(bench.writer.run())
+        for number in range(200):
+            bench.writer.write(f"k/{number}", Rank.ASSIGN, lambda: "x" * 150)
+        await asyncio.sleep(60)
+        assert len(bench.read()) == 200
+        assert not task.done() and not bench.lost
+        assert bench.store.too_many < 60
+        task.cancel()
+
+    play(main(), bench.loop)
+
+
+def test_large_slots_are_emptied_record_by_record() -> None:
+    """What larger values held is carried into slots of the new size, whatever its size."""
+    large = Slots(slot_bytes(16))
+    texts = {f"j/{number}": text_of("x" * 300) for number in range(40)}
+    texts["j/long"] = text_of("y" * 3000)
+    slot = large.take()
+    large.written(slot, 5, texts)
+    small = Slots(slot_bytes(2))
+    small.load([(slot.key, {"number": 7, "text": pack(texts)}, 5)])
+    moved: dict[str, str] = {}
+    for stamp in range(6, 40):
+        some = small.too_large(set(), small.most)
+        if not some:
+            break
+        assert sum(weight(key, text) for key, text in some.items()) <= small.most
+        small.written(small.take(), stamp, some)
+        moved |= some
+    # All but what is itself too large, which stays readable where it is.
+    assert set(texts) - set(moved) <= {"j/long"} | {key for key in texts if key not in moved}
+    assert "j/long" not in moved and "j/long" in small
+    assert len(moved) >= 34
+    # Once a newer, smaller version of it is written, nothing keeps the large slot.
+    small.written(small.take(), 50, {"j/long": text_of("z")})
+    assert not small._large
--- a/src/elmthread/ledger/writer.py
+++ b/src/elmthread/ledger/writer.py
@@ -32,7 +32,8 @@
 # Between two picks: what comes meanwhile goes together.
 GATHER = seconds(0.05)
 # After a transaction was refused as too large or malformed, records go alone for so long: the
-# one that can't be stored is found, and holds up no other.
+# one that can't be stored is found, and holds up no other. After one beyond the rate of
+# changes, slots do.
 ALONE = seconds(30)
 
 
@@ -102,6 +103,7 @@
         # Since when the store has not taken a transaction; users are told at once while it does not.
         self.failing_since: timedelta | None = None
         self._alone_until = ZERO
+        self._single_until = ZERO
 
     @property
     def most_record(self) -> int:
@@ -187,7 +189,10 @@
             key=lambda change: (change.rank, change.since),
         )
         most = min(self._most_ops, max(1, int(self._changes.level())), max(1, MAX_TXN // self._slots.most))
-        alone = self._clock() < self._alone_until
+        now = self._clock()
+        alone = now < self._alone_until
+        if now < self._single_until:
+            most = 1
         filled: list[Filled] = []
         batch: list[Change] = []
         for change in ready:
@@ -250,10 +255,15 @@
                 revision = await self._client.commit(guards, then)
             except Unavailable as error:
                 log.info("not written: %s", error)
-                if isinstance(error, TooMany):
-                    self._changes.drain()
                 self._failed()
                 await asyncio.sleep(PAUSE.total_seconds())
+                if isinstance(error, TooMany):
+                    self._changes.drain()
+                    if len(filled) > 1 and not unsure:
+                        # More changes than the rate lets through at once would never pass.
+                        self._single_until = self._clock() + ALONE
+                        self._wait_again(filled, batch)
+                        return
             except Refused as error:
                 sizes = ", ".join(str(one.size) for one in filled)
                 log.error("the state service refuses a transaction with slots of %s bytes: %s", sizes, error)
@@ -288,12 +298,16 @@
         depends on it stays undone, and all else goes on. Giving up leadership for it would
         bring the next leader to the same transaction.
         """
-        for one in filled:
-            self._slots.give_back(one.slot)
         if len(batch) == 1 and self._clock() < self._alone_until:
             log.error("%s can't be stored", batch[0].key)
-            return
-        self._alone_until = self._clock() + ALONE
+            batch = []
+        else:
+            self._alone_until = self._clock() + ALONE
+        self._wait_again(filled, batch)
+
+    def _wait_again(self, filled: list[Filled], batch: list[Change]) -> None:
+        for one in filled:
+            self._slots.give_back(one.slot)
         for change in batch:
             newer = self._waiting.get(change.key)
             if newer is not None:
--- a/src/elmthread/settings/tests/test_settings.py
+++ b/src/elmthread/settings/tests/test_settings.py
@@ -9,7 +9,7 @@
 from elmthread.settings.platform import BadSettings
 from tests.world.world import SETTINGS
 
-GOOD = SETTINGS.format(node="loom-0", others="")
+GOOD = SETTINGS.format(node="loom-0", others="", next="")
 
 
 def test_platform_file_with_unknown_fields() -> None:
@@ -83,3 +83,22 @@
 def test_bad_operators_settings(text: str) -> None:
     with pytest.raises(BadSettings):
         operators.parse(text)
+
+
+def test_the_stricter_of_the_stores_limits_now_and_next_is_kept() -> None:
+    def kept(extra: str) -> tuple[float, float, float, int]:
+        state = platform.parse(SETTINGS.format(node="loom-0", others="", next=extra)).facts.state.kept()
+        return state.rps, state.write_rps, state.value_kb, state.txn_ops
+
+    now = kept("")
+    assert kept("[facts.state.next]") == now
+    assert kept("[facts.state.next]\nvalue_kb = 2.0") == (*now[:2], 2.0, now[3])
+    assert kept("[facts.state.next]\nvalue_kb = 64.0\ntxn_ops = 4\nwrite_rps = 5.0\nrps = 50.0\nkeys = 9") == (
+        50.0,
+        5.0,
+        now[2],
+        4,
+    )
+    for bad in ("value_kb = 0.0", "txn_ops = 0", "write_rps = -1.0", "rps = nan", "txn_ops = 'four'"):
+        with pytest.raises(BadSettings, match=bad.split()[0]):
+            kept(f"[facts.state.next]\n{bad}")
--- /dev/null
+++ b/src/elmthread/sizing/tests/test_services.py
@@ -0,0 +1,91 @@
+"""Room for services, against brute force and a plain reading of what is wanted."""
+
+import copy
+import itertools
+import math
+import random
+
+from elmthread.common.clock import seconds
+from elmthread.placement.decide import Room, Slot, Want, allowed
+from elmthread.sizing.decide import Offer
+from elmthread.sizing.services import Trend, machines_for, reserve, unplaced
+
+
+def want(count: int, most: float = math.inf, **changes: object) -> Want:
+    return Want(**{  # type: ignore[arg-type]
+        "job": "s",
+        "team": "t",
+        "order": (0.0,),
+        "count": count,
+        "cpus": 2.0,
+        "cards": 0.0,
+        "ram": 2.0,
+        "spot": False,
+        "urgent": True,
+        "zone_most": most,
+    } | changes)
+
+
+OFFERS = [
+    Offer("small", zone, spot, 4.0, 0.2 if spot else 0.5, 30.0, ram=8.0)
+    for zone in "xyz"
+    for spot in (True, False)
+] + [Offer("large", "x", False, 32.0, 4.0, 30.0, ram=64.0)]
+
+
+def test_machines_are_of_the_kind_and_in_the_zones_that_replicas_need() -> None:
+    for seed in range(200):
+        rng = random.Random(seed)
+        tasks = rng.randint(1, 9)
+        most = rng.choice([math.inf, math.ceil(tasks / 2)])
+        wanted = want(tasks, most, zones={"x": rng.randint(0, 2)} if rng.random() < 0.5 else {})
+        there = dict(wanted.zones)
+        rooms = {"t": Room(rng.choice([math.inf, 6.0]))}
+        limit = min(tasks, int(rooms["t"].cpus / 2) if rooms["t"].cpus < math.inf else tasks)
+        chosen = machines_for([wanted], OFFERS, rooms, 50)
+        assert not any(offer.spot for offer in chosen)
+        # They take all that limits let run, and none is there for nothing.
+        assert tasks - wanted.count == limit
+        assert sum(offer.cores for offer in chosen) - 2 * limit < 32 * len(chosen)
+        for zone, count in wanted.zones.items():
+            assert count <= max(most, there.get(zone, 0))
+
+
+def test_what_fits_somewhere_is_not_rented_for() -> None:
+    for seed in range(200):
+        rng = random.Random(seed)
+        slots = [
+            Slot(f"m{n}", "small", rng.choice("xy"), rng.random() < 0.4, float(rng.randint(0, 4)), 0.0, 8.0)
+            for n in range(4)
+        ]
+        one = want(rng.randint(1, 5), rng.choice([math.inf, 2.0]))
+        left = unplaced([one], copy.deepcopy(slots), {"t": Room()})
+        # By brute force: the most replicas that any way of giving them out can place.
+        best = 0
+        each = [range(int(s.cpus // 2) + 1) if allowed(one, s.build, s.zone, s.spot) else range(1) for s in slots]
+        for counts in itertools.product(*each):
+            by_zone = {z: sum(c for c, s in zip(counts, slots, strict=True) if s.zone == z) for z in "xy"}
+            if max(by_zone.values()) <= one.zone_most:
+                best = max(best, min(sum(counts), one.count))
+        assert one.count - sum(want.count for want in left) == best
+
+
+def test_a_team_at_its_limit_has_nothing_rented_for_it() -> None:
+    assert unplaced([want(3)], [], {"t": Room(1.0)}) == []
+
+
+def test_reserve_has_the_cores_and_no_zone_has_more_than_half_where_others_can_give() -> None:
+    machines = [("a", "x", 8.0), ("b", "x", 8.0), ("c", "x", 8.0), ("d", "y", 8.0), ("e", "z", 8.0)]
+    assert reserve(machines, 0.0) == set()
+    assert reserve(machines, 10.0) == {"a", "d"}
+    assert reserve(machines, 32.0) == {"a", "b", "d", "e"}
+
+
+def test_growth_is_seen_soon_and_forgotten_when_it_ends() -> None:
+    trend = Trend()
+    assert trend.growth(seconds(0), 0.0) == 0.0
+    # Two cores a second from 100 s on.
+    rises = [trend.growth(seconds(at), max(0.0, 2.0 * (at - 100))) for at in range(5, 131, 5)]
+    assert rises[-1] == 2.0 and rises[20] <= 2.0
+    later = [trend.growth(seconds(at), 60.0) for at in range(135, 300, 5)]
+    assert later[-1] == 0.0
