--- a/src/elmthread/sizing/service.py
+++ b/src/elmthread/sizing/service.py
@@ -86,6 +86,7 @@
         daemons = [job for job in self._book.open_jobs.values() if job.daemon]
         if not daemons:
             self._services.growth(now, 0.0)
+            self._services.ratio(now, 0.0, self._operators.theta)
             for machine in self._book.machines.values():
                 machine.kept = False
             return
@@ -111,7 +112,7 @@
         )
         booked = sum(m.standing_cpus for m in firm)
         booked += _usable([want for want in waiting if not want.spot], self._placement.rooms())
-        theta, delta = self._operators.theta, self._operators.delta
+        theta, delta = self._services.ratio(now, booked, self._operators.theta), self._operators.delta
         # What will be booked by the time a machine rented now is up.
         boot = seconds(max(kind.boot_s for kind in self._fleet.types.values()) * BOOT) + self._operators.check
         soon = booked + self._services.growth(now, booked) * boot.total_seconds()
@@ -405,6 +406,12 @@
             if not machine.holds and not machine.cut and not machine.kept and now - machine.empty_since > patience:
                 self._fleet.give_up(machine, "the pool is idle")
 
+    def _idle_for(self, machine: Machine) -> timedelta:
+        """Where services run, an ordinary machine is the only kind that some work may use: it is not
+        given away in a lull that is shorter than the boot of another.
+        """
+        return IDLE if machine.spot or not self._services.known else self._patience(machine)
+
     def _patience(self, machine: Machine) -> timedelta:
         """How long an empty machine is kept: about as long as its like would take to boot."""
         kind = self._fleet.types.get(machine.build)
@@ -467,9 +474,7 @@
         empty = [
             m
             for m in outside
-            # An ordinary machine is the only kind that some work may use: not given away in a lull
-            # that is shorter than the boot of another.
-            if m.open and m.fading and not m.holds and now - m.empty_since > (IDLE if m.spot else self._patience(m))
+            if m.open and m.fading and not m.holds and now - m.empty_since > self._idle_for(m)
         ]
         for machine in sorted(empty, key=lambda m: -m.core_price):
             if urgent <= most * (cores - machine.cpus):
--- a/src/elmthread/sizing/services.py
+++ b/src/elmthread/sizing/services.py
@@ -21,11 +21,35 @@
 SHORTEST = seconds(20)
 
 
+# What the mean-to-peak ratio is taken over, and the most that it says.
+MEMORY = seconds(300)
+MOST_RATIO = 0.9
+
+
 class Trend:
-    """How fast the cores that replicas need grow, since the lowest of late."""
+    """What the demand of services has been: its mean to its peak, and how fast it grows."""
 
     def __init__(self) -> None:
         self._seen: deque[tuple[timedelta, float]] = deque()
+        self._all: deque[tuple[timedelta, float]] = deque()
+
+    @property
+    def known(self) -> bool:
+        """Services were here of late."""
+        return bool(self._all)
+
+    def ratio(self, now: timedelta, cores: float, least: float) -> float:
+        """Theta of the services' own band: their recent mean-to-peak ratio, since the first of them."""
+        if cores > 0 or self._all:
+            self._all.append((now, cores))
+        while self._all and self._all[0][0] < now - MEMORY:
+            self._all.popleft()
+        peak = max((cores for _, cores in self._all), default=0.0)
+        if peak <= 0:
+            self._all.clear()
+            return least
+        mean = sum(cores for _, cores in self._all) / len(self._all)
+        return min(max(mean / peak, least), MOST_RATIO)
 
     def growth(self, now: timedelta, cores: float) -> float:
         """Notes what is needed now; returns the cores by which it grows each second."""
