--- a/src/elmthread/fleet/service.py
+++ b/src/elmthread/fleet/service.py
@@ -44,6 +44,11 @@
 MISSING = 3
 # A machine silent for this part of its lease has missed reports and gets nothing new.
 QUIET = 0.4
+# A machine that is silent for this part of its lease while hardly any others are is most likely
+# dead. Where it holds replicas it is deleted, as the answer proves that they are gone: they return
+# sooner than the lease alone would let them, which outweighs that some machines only hang.
+LIKELY_DEAD = 0.6
+FEW_SILENT = 0.1
 # A machine whose reports have shown for this many leases that our answers don't arrive is returned.
 DEAF = 3
 # A zone in which this many machines, and this part of all, are silent seems to be cut off. Its
@@ -114,6 +119,8 @@
         self._tasks: set[asyncio.Task[None]] = set()
         self._began = clock()
         self._cut: frozenset[str] = frozenset()
+        # Hardly any machine is silent, so one that is has failed by itself.
+        self._few_silent = True
 
     # Machine types
 
@@ -385,6 +392,13 @@
                 self.give_up(machine, "fails tasks")
             elif self._silence(machine, now) > self._lease + self._lag * 2 + kept:
                 self.give_up(machine, "silent")
+            elif (
+                machine.standing_cpus > 0
+                and self._few_silent
+                and machine.state is MachineState.UP
+                and self._silence(machine, now) > self._lease * LIKELY_DEAD
+            ):
+                self.give_up(machine, "silent, and its replicas are to return")
 
     def _find_cut(self, now: timedelta) -> None:
         expected: Counter[str] = Counter()
@@ -393,6 +407,7 @@
             if machine.expected:
                 expected[machine.zone] += 1
                 silent[machine.zone] += machine.unheard(now, self._began)
+        self._few_silent = silent.total() <= max(1, FEW_SILENT * expected.total())
         cut = frozenset(
             zone for zone, count in silent.items() if count >= CUT_LEAST and count > CUT_PART * expected[zone]
         )
