--- a/src/elmthread/placement/tests/test_decide.py
+++ b/src/elmthread/placement/tests/test_decide.py
@@ -243,3 +243,14 @@
     placed = place(wants, counted, rooms)
     assert sum(count for _, _, count in placed) > 1000
     assert looks < 300 * 600 / 8, looks
+
+
+def test_only_work_of_lower_priority_gives_way() -> None:
+    """A service of a low priority is urgent, but takes no room from what is as important."""
+    for rank, others in ((0, [1, 2, 3]), (2, [3]), (3, [])):
+        held = [Victim(n, "m", "other", 2.0, 0.0, 0.0, timedelta(seconds=n), n) for n in range(1, 4)]
+        slot = Slot("m", "s", "x", False, cpus=0.0, cards=0.0, ram=9.0)
+        need = want("u", 3, 2.0, urgent=True)
+        need.rank = rank
+        chosen = preempt(need, {"m": slot}, {"m": held}, Room())
+        assert sorted(victim.rank for victim in chosen) == others
--- a/tests/test_daemons.py
+++ b/tests/test_daemons.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from elmthread.common.clock import seconds
 from elmthread.placement.book import Job
 from tests.test_world import day, set_apart, start
 from tests.world.world import ZONES, World, daemon, job
@@ -324,3 +325,17 @@
         assert work.correction("gateway") == 1.0 and work.correction("nightly") == 1.0
 
     day(script, machines=0)
+
+
+def test_services_are_urgent_whatever_the_operators_say() -> None:
+    """Deferrable work is judged by its deadline; a service has none, and would wait beside all of it."""
+    from elmthread.intake.jobs import Jobs
+    from elmthread.intake.messages import read_submission
+    from elmthread.settings import operators, platform
+    from tests.world.world import settings
+
+    facts = platform.parse(settings("loom-0", ["loom-0"])).facts
+    jobs = Jobs(facts, operators.parse("urgent = \"priority == 'high'\""))
+    spec = {name: value for name, value in daemon(1).items() if name not in ("true_s", "ends")}
+    assert jobs.new(read_submission(spec), seconds(0)).urgent
+    assert not jobs.new(read_submission(spec | {"form": "batch"}), seconds(0)).urgent
