--- a/tests/test_daemons.py
+++ b/tests/test_daemons.py
@@ -118,7 +118,7 @@
             world.cut_workers |= {(other, node) for node in world.nodes}
 
 
-@pytest.mark.parametrize(("loss", "within"), [(lose_machine, 17.0), (recall, 10.0), (cut_zone, 25.0)])
+@pytest.mark.parametrize(("loss", "within"), [(lose_machine, 13.0), (recall, 10.0), (cut_zone, 25.0)])
 def test_replicas_return_after_loss(loss: Callable[[World, str], None], within: float) -> None:
     async def script(world: World) -> None:
         ordinary(world, 3)
