--- a/src/elmthread/sizing/service.py
+++ b/src/elmthread/sizing/service.py
@@ -61,6 +61,7 @@
         self._demand: deque[tuple[timedelta, float]] = deque()
         self.theta = operators.theta
         self._services = Trend()
+        self._services_run = False
 
     def round(self) -> None:
         if not self._fleet.types:
@@ -84,9 +85,9 @@
         of cores of the wrong kind.
         """
         daemons = [job for job in self._book.open_jobs.values() if job.daemon]
+        self._services_run = bool(daemons)
         if not daemons:
             self._services.growth(now, 0.0)
-            self._services.ratio(now, 0.0, self._operators.theta)
             for machine in self._book.machines.values():
                 machine.kept = False
             return
@@ -97,10 +98,14 @@
             if (job := self._book.jobs[want.job]).daemon
         ]
         rooms = self._placement.rooms()
-        if waiting:
-            left = unplaced(waiting, self._soon_room(waiting, now), rooms)
-            if left:
-                self._order(machines_for(left, self._offers(left), rooms, MOST_AT_ONCE), pool=False)
+        # One more like the largest there is must find room at once, spread as it may have to be.
+        largest = max(daemons, key=lambda job: (not job.spec.spot, job.total * job.spec.cpus))
+        next_one = replace(
+            self._placement.want_of(largest), count=largest.total, zones={}, machines={}, avoid=()
+        )
+        left = unplaced([*waiting, next_one], self._soon_room([*waiting, next_one], now), rooms)
+        if left:
+            self._order(machines_for(left, self._offers(left), rooms, MOST_AT_ONCE), pool=False)
         # The band, over the machines of the kind that the most demanding of them may use.
         templates = [self._placement.want_of(job) for job in daemons if not job.spec.spot]
         firm = [m for m in self._book.machines.values() if not m.spot and m.serves(now)]
@@ -112,17 +117,17 @@
         )
         booked = sum(m.standing_cpus for m in firm)
         booked += _usable([want for want in waiting if not want.spot], self._placement.rooms())
-        theta, delta = self._services.ratio(now, booked, self._operators.theta), self._operators.delta
+        theta, delta = self._operators.theta, self._operators.delta
         # What will be booked by the time a machine rented now is up.
         boot = seconds(max(kind.boot_s for kind in self._fleet.types.values()) * BOOT) + self._operators.check
         soon = booked + self._services.growth(now, booked) * boot.total_seconds()
         if templates and (band(booked, for_replicas, theta, delta) is Band.RENT or soon > for_replicas):
             offers = [offer for offer in self._offers(templates) if not offer.spot]
             self._order(refill(offers, max(booked / theta, soon) - for_replicas, MOST_AT_ONCE), pool=False)
-        # Those that hold replicas are kept first, then the cheapest.
+        # Those that hold replicas stay in any case, so their room comes first, then the cheapest.
         firm.sort(key=lambda m: (-m.standing_cpus, m.core_price, m.name))
-        needed = max(booked / max(theta - delta, 0.05), soon) if templates else 0.0
-        kept = reserve(((m.name, m.zone, m.cpus) for m in firm), needed)
+        needed = max(booked / max(theta - delta, 0.05), soon, booked + largest.total * largest.spec.cpus) - booked
+        kept = reserve(((m.name, m.zone, m.cpus - m.urgent_cpus) for m in firm), needed if templates else 0.0)
         for machine in self._book.machines.values():
             machine.kept = machine.name in kept
 
@@ -410,7 +415,7 @@
         """Where services run, an ordinary machine is the only kind that some work may use: it is not
         given away in a lull that is shorter than the boot of another.
         """
-        return IDLE if machine.spot or not self._services.known else self._patience(machine)
+        return IDLE if machine.spot or not self._services_run else self._patience(machine)
 
     def _patience(self, machine: Machine) -> timedelta:
         """How long an empty machine is kept: about as long as its like would take to boot."""
--- a/src/elmthread/sizing/services.py
+++ b/src/elmthread/sizing/services.py
@@ -6,7 +6,6 @@
 cores they may use is held in the same band.
 """
 
-import math
 from collections import deque
 from collections.abc import Iterable, Sequence
 from dataclasses import replace
@@ -21,35 +20,11 @@
 SHORTEST = seconds(20)
 
 
-# What the mean-to-peak ratio is taken over, and the most that it says.
-MEMORY = seconds(300)
-MOST_RATIO = 0.9
-
-
 class Trend:
-    """What the demand of services has been: its mean to its peak, and how fast it grows."""
+    """How fast the cores that replicas need grow, since the lowest of late."""
 
     def __init__(self) -> None:
         self._seen: deque[tuple[timedelta, float]] = deque()
-        self._all: deque[tuple[timedelta, float]] = deque()
-
-    @property
-    def known(self) -> bool:
-        """Services were here of late."""
-        return bool(self._all)
-
-    def ratio(self, now: timedelta, cores: float, least: float) -> float:
-        """Theta of the services' own band: their recent mean-to-peak ratio, since the first of them."""
-        if cores > 0 or self._all:
-            self._all.append((now, cores))
-        while self._all and self._all[0][0] < now - MEMORY:
-            self._all.popleft()
-        peak = max((cores for _, cores in self._all), default=0.0)
-        if peak <= 0:
-            self._all.clear()
-            return least
-        mean = sum(cores for _, cores in self._all) / len(self._all)
-        return min(max(mean / peak, least), MOST_RATIO)
 
     def growth(self, now: timedelta, cores: float) -> float:
         """Notes what is needed now; returns the cores by which it grows each second."""
@@ -107,17 +82,17 @@
 
 
 def reserve(machines: Iterable[tuple[str, str, float]], needed: float) -> set[str]:
-    """The machines (name, zone, cores) that stand in reserve, the first ones first, until they
-    have the cores needed; no zone gives more than half, as replicas are spread.
+    """The machines (name, zone, cores that replicas could have) that stand in reserve, the first
+    ones first, until they have the cores needed. No zone counts for more than half of these: what
+    comes next is spread over zones, and all room in one would take half of it.
     """
     kept: set[str] = set()
     by_zone: dict[str, float] = {}
     total = 0.0
     for name, zone, cores in machines:
-        if total >= needed:
-            break
-        if by_zone.get(zone, 0.0) < math.ceil(needed / 2):
-            by_zone[zone] = by_zone.get(zone, 0.0) + cores
-            total += cores
+        useful = min(cores, needed / 2 - by_zone.get(zone, 0.0))
+        if total < needed and useful > 0:
+            by_zone[zone] = by_zone.get(zone, 0.0) + useful
+            total += useful
             kept.add(name)
     return kept
--- a/src/elmthread/sizing/tests/test_services.py
+++ b/src/elmthread/sizing/tests/test_services.py
@@ -74,27 +74,15 @@
     assert unplaced([want(3)], [], {"t": Room(1.0)}) == []
 
 
-def test_reserve_has_the_cores_and_no_zone_has_more_than_half_where_others_can_give() -> None:
+def test_reserve_has_the_cores_and_no_zone_counts_for_more_than_half() -> None:
     machines = [("a", "x", 8.0), ("b", "x", 8.0), ("c", "x", 8.0), ("d", "y", 8.0), ("e", "z", 8.0)]
     assert reserve(machines, 0.0) == set()
-    assert reserve(machines, 10.0) == {"a", "d"}
+    # One large machine has the cores, but half of a spread service could not run on it.
+    assert reserve([("l", "x", 64.0), *machines], 10.0) == {"l", "d"}
+    assert reserve(machines, 16.0) == {"a", "d"}
     assert reserve(machines, 32.0) == {"a", "b", "d", "e"}
 
 
-def test_theta_of_services_is_their_mean_to_peak_since_the_first() -> None:
-    trend = Trend()
-    assert not trend.known and trend.ratio(seconds(0), 0.0, 0.6) == 0.6
-    assert trend.ratio(seconds(10), 30.0, 0.6) == 0.9 and trend.known
-    # Demand that rises has a mean of half its peak; one that stays, nearly all of it.
-    rising = [trend.ratio(seconds(at), float(at * 3), 0.3) for at in range(15, 200, 5)]
-    assert 0.45 < rising[-1] < 0.65
-    steady = [trend.ratio(seconds(at), 600.0, 0.6) for at in range(200, 600, 5)]
-    assert steady[-1] == 0.9
-    for at in range(600, 1000, 5):
-        trend.ratio(seconds(at), 0.0, 0.6)
-    assert not trend.known
-
-
 def test_growth_is_seen_soon_and_forgotten_when_it_ends() -> None:
     trend = Trend()
     assert trend.growth(seconds(0), 0.0) == 0.0
--- a/tests/test_daemons.py
+++ b/tests/test_daemons.py
@@ -118,7 +118,7 @@
             world.cut_workers |= {(other, node) for node in world.nodes}
 
 
-@pytest.mark.parametrize(("loss", "within"), [(lose_machine, 13.0), (recall, 10.0), (cut_zone, 25.0)])
+@pytest.mark.parametrize(("loss", "within"), [(lose_machine, 11.0), (recall, 11.0), (cut_zone, 20.0)])
 def test_replicas_return_after_loss(loss: Callable[[World, str], None], within: float) -> None:
     async def script(world: World) -> None:
         ordinary(world, 3)
@@ -132,10 +132,12 @@
         name = next(machine for machine, task in world.rules.where if task.startswith("run-000001"))
         mine = {task for machine, task in world.rules.where if machine == name}
         loss(world, name)
+        lost = world.loop.now
         while any(world.rules.machines_of.get(task) == [name] for task in mine):
-            await asyncio.sleep(0.2)
+            await asyncio.sleep(0.1)
         await served(world, "run-000001", within)
         await served(world, "run-000002", within, 4)
+        assert world.loop.now - lost < within
 
     day(script, machines=0)
 
