--- a/src/elmthread/agents/reach.py
+++ b/src/elmthread/agents/reach.py
@@ -48,8 +48,8 @@
         try:
             sender = msgspec.convert(decode(request.body), Sender)
         except (BadBody, msgspec.ValidationError):
-            return Response(421, elsewhere(leader))
-        if leader is None or sender.token != token:
+            sender = None
+        if leader is None or sender is None or sender.token != token:
             return Response(421, elsewhere(leader))
         if token != self._missed:
             self._came.clear()
--- a/src/elmthread/agents/service.py
+++ b/src/elmthread/agents/service.py
@@ -177,6 +177,8 @@
     def out_of_reach(self, reach: Reach) -> bool:
         """Most machines are silent here and reach another node."""
         elsewhere = reach.elsewhere(self._tenure.token, self._is_news)
+        if not elsewhere:
+            return False
         now = self._clock()
         expected = [machine for machine in self._book.machines.values() if machine.expected]
         silent = sum(machine.unheard(now, self._began) for machine in expected)
--- a/src/elmthread/cli.py
+++ b/src/elmthread/cli.py
@@ -8,7 +8,7 @@
 from elmthread import __version__
 from elmthread.common import logs
 from elmthread.settings import operators, platform
-from elmthread.settings.platform import BadSettings
+from elmthread.settings.platform import BadSettings, split_address
 
 OK, FAILED, BAD_SETTINGS = 0, 1, 2
 
@@ -28,11 +28,23 @@
         sub.add_argument("job", metavar="ID")
     for verb in ("submit", "status", "withdraw"):
         verbs.choices[verb].add_argument(
-            "--server", required=True, metavar="HOST:PORT", help="the address of a controller or load balancer"
+            "--server",
+            required=True,
+            type=_address,
+            metavar="HOST:PORT",
+            help="the address of a controller or load balancer",
         )
     return top
 
 
+def _address(text: str) -> str:
+    try:
+        split_address(text)
+    except ValueError:
+        raise argparse.ArgumentTypeError(f"not HOST:PORT: {text!r}") from None
+    return text
+
+
 def main(argv: list[str] | None = None) -> int:
     args = parser().parse_args(argv)
     logs.set_up()
--- a/src/elmthread/settings/tests/test_settings.py
+++ b/src/elmthread/settings/tests/test_settings.py
@@ -102,3 +102,10 @@
     for bad in ("value_kb = 0.0", "txn_ops = 0", "write_rps = -1.0", "rps = nan", "txn_ops = 'four'"):
         with pytest.raises(BadSettings, match=bad.split()[0]):
             kept(f"[facts.state.next]\n{bad}")
+
+
+@pytest.mark.parametrize("address", ["NONSENSE", "here:", ":80", "10.0.0.1:99999"])
+def test_an_address_that_is_none_is_told_by_its_option(address: str, capsys: pytest.CaptureFixture[str]) -> None:
+    with pytest.raises(SystemExit) as ended:
+        main(["status", "--server", address, "run-000001"])
+    assert ended.value.code == 2 and "--server" in capsys.readouterr().err
--- a/tests/test_rollout.py
+++ b/tests/test_rollout.py
@@ -13,11 +13,11 @@
 from typing import Any
 
 import pytest
-from hypothesis import HealthCheck, Phase, given, settings
+from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from elmthread.ledger.log import SLOTS, Slots, slot_bytes
-from tests.test_world import TROUBLES, befall, day, restore, start
+from tests.test_world import HISTORIES, TROUBLES, befall, day, restore, start
 from tests.world.world import NEXT, NODES, ZONES, World, daemon, job
 
 TYPES_MANY = 12
@@ -56,14 +56,7 @@
     return Slots(slot_bytes(8)).load(slots)
 
 
-@settings(
-    max_examples=25,
-    deadline=None,
-    database=None,
-    derandomize=True,
-    phases=[Phase.generate],
-    suppress_health_check=list(HealthCheck),
-)
+@settings(HISTORIES, max_examples=25)
 @given(
     st.integers(0, 10_000),
     st.permutations(NODES),
--- a/tests/test_world.py
+++ b/tests/test_world.py
@@ -248,15 +248,18 @@
 ]
 
 
-@settings(
-    max_examples=40,
+# How generated histories are played: the same in every run, and a failing one is told as it is,
+# since making it smaller takes minutes.
+HISTORIES = settings(
     deadline=None,
     database=None,
     derandomize=True,
-    # A failing history is told as it is: making it smaller takes minutes.
     phases=[Phase.generate],
     suppress_health_check=list(HealthCheck),
 )
+
+
+@settings(HISTORIES, max_examples=40)
 @given(
     st.integers(0, 10_000),
     st.lists(st.tuples(st.sampled_from(TROUBLES), st.floats(0.5, 15.0)), min_size=2, max_size=7),
