A leader that reaches nothing but the state service gives way, once

Where no link to another controller is up and most machines are silent it gives way; not again for 120 s, so that one whose others are dead leads on.

--- a/src/elmthread/agents/service.py
+++ b/src/elmthread/agents/service.py
@@ -32,6 +32,8 @@
 LINGER = seconds(0.4)
 # Answers that started something in vain, one after the other, before a machine is taken for deaf.
 MISSED = 3
+# Silence of fewer machines than this says nothing about the node itself.
+TOUCH_LEAST = 4
 STATES = {"fetching": HoldState.FETCHING, "running": HoldState.RUNNING, "saving": HoldState.SAVING}
 
 
@@ -184,6 +186,13 @@
         silent = sum(machine.unheard(now, self._began) for machine in expected)
         return should_give_way(len(expected), silent, elsewhere)
 
+    def out_of_touch(self) -> bool:
+        """Most machines are silent: where no other controller is reached either, it is this node."""
+        now = self._clock()
+        expected = [machine for machine in self._book.machines.values() if machine.expected]
+        silent = sum(machine.unheard(now, self._began) for machine in expected)
+        return len(expected) >= TOUCH_LEAST and silent * 2 > len(expected)
+
     def _is_news(self, stray: Stray) -> bool:
         name, *newest = stray
         machine = self._book.machines.get(name)
--- a/src/elmthread/controller.py
+++ b/src/elmthread/controller.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+from collections.abc import Callable
 from datetime import timedelta
 
 from elmthread.agents.messages import BEAT
@@ -39,6 +40,8 @@
 CANCEL_SLACK = seconds(4)
 ROUND = seconds(0.1)
 GATHER = seconds(0.5)
+# A leader that reaches nobody but the state service gives way, though not more often than this.
+ALONE_AGAIN = seconds(120)
 # Rounds of decisions that overload puts off at most, before one is made all the same.
 MOST_PUT_OFF = 20
 # A round of decisions that takes this long is told of in the log.
@@ -78,9 +81,13 @@
         clock: Clock,
         load: Load,
         reach: Reach,
+        may_be_alone: Callable[[], bool],
+        gave_way_alone: Callable[[], None],
         token: int,
     ) -> None:
         self._reach = reach
+        self._may_be_alone = may_be_alone
+        self._gave_way_alone = gave_way_alone
         self._load = load
         self._platform = platform
         self._operators = operators
@@ -224,10 +231,18 @@
     async def _watch_reach(self) -> None:
         while True:
             await asyncio.sleep(GATHER.total_seconds())
-            if self.tenure.leads() and self.agents.out_of_reach(self._reach):
-                log.info("most machines don't reach this node, and reach another")
-                self.tenure.rest()
-                self.tenure.step_down("the workers are out of reach")
+            if not self.tenure.leads():
+                continue
+            if self.agents.out_of_reach(self._reach):
+                self._give_way("most machines don't reach this node, and reach another")
+            elif self._may_be_alone() and self.agents.out_of_touch():
+                self._gave_way_alone()
+                self._give_way("neither most machines nor another controller are reached")
+
+    def _give_way(self, why: str) -> None:
+        log.info("%s", why)
+        self.tenure.rest()
+        self.tenure.step_down("the workers are out of reach")
 
     async def _time_to_decide(self) -> None:
         """Decisions wait while there is not even time for answers, though not for ever."""
@@ -299,6 +314,7 @@
         most = max(10, int(facts.limits.max_connections * SERVERS_PART))
         workers = Crowd(BEAT, max(5, int(most * WORKERS_PART)), facts.workers.lease)
         self.server = Server(self.api.handle, most, clock, workers)
+        self._alone_at: timedelta | None = None
         self.leader: Leader | None = None
         self._leading: asyncio.Task[None] | None = None
 
@@ -313,11 +329,26 @@
             self._clock,
             self.load,
             self.reach,
+            self._may_be_alone,
+            self._gave_way_alone,
             token,
         )
         self._leading = asyncio.get_running_loop().create_task(self._lead(self.leader))
         self.peers.tell()
 
+    def _may_be_alone(self) -> bool:
+        """No other controller is reached: this node may be cut off from all but the state service.
+
+        Nobody can tell it who reports elsewhere then. It gives way once, and not again for a
+        while: if the others are dead and the machines too, leading is better than nothing.
+        """
+        again = self._alone_at is not None and self._clock() - self._alone_at < ALONE_AGAIN
+        others = [other.node for other in self._platform.others]
+        return bool(others) and not again and not any(self.peers.reaches(node) for node in others)
+
+    def _gave_way_alone(self) -> None:
+        self._alone_at = self._clock()
+
     async def _lead(self, leader: Leader) -> None:
         try:
             await leader.run()
--- a/tests/test_troubles.py
+++ b/tests/test_troubles.py
@@ -9,7 +9,7 @@
 from elmthread.common.clock import seconds
 from elmthread.peers.messages import Ask
 from elmthread.placement.book import Machine
-from tests.test_world import day, set_apart, start
+from tests.test_world import day, restore, set_apart, start
 from tests.world.world import World, job
 
 
@@ -598,3 +598,40 @@
         assert (await world.ask("GET", "/submissions/run-000001", node=name)).status == 503
 
     day(script)
+
+
+@pytest.mark.parametrize("others_live", [True, False])
+def test_leader_with_nothing_but_the_state_service_gives_way_once(others_live: bool) -> None:
+    """It keeps its lease, but neither workers nor controllers reach it: nobody can tell it so."""
+
+    async def script(world: World) -> None:
+        for number in range(4):
+            assert await world.submit(job(number, true_s=60.0, expected_s=60.0))
+        await asyncio.sleep(8)
+        first = world.leader
+        assert first is not None
+        node, token = first.api._node, first.election.token
+        if not others_live:
+            for other in [name for name in world.nodes if name != node]:
+                world.kill(other)
+        world.apart.add(node)
+        world.cut_workers |= {(worker, node) for worker in world.workers}
+        await asyncio.sleep(11)
+        if others_live:
+            assert world.leader is not None and world.leader.api._node != node
+            await asyncio.sleep(60)
+        else:
+            # Nobody else can lead: after one try it goes on, and is there when the machines are back.
+            await asyncio.sleep(30)
+            assert first.election.leads() and first.election.token > token
+            won = first.election.token
+            await asyncio.sleep(40)
+            assert first.election.token == won
+        restore(world)
+        world.cut_workers.clear()
+        states = await world.until_over([f"run-{number:06d}" for number in range(4)], 200)
+        assert set(states.values()) == {"done"}
+        if others_live:
+            assert max(world.rules.starts.values()) == 1
+
+    day(script, machines=6)
