--- a/src/elmthread/sizing/service.py
+++ b/src/elmthread/sizing/service.py
@@ -267,10 +267,8 @@
             if due < soonest:
                 if hard:
                     continue
-                # What can't have its margin any more is still to end in time. Past that it can't be
-                # saved, so it is no reason to hurry; but it must not wait for ever.
-                whole = (job.since + job.aim - now).total_seconds()
-                due = min(whole, soonest * SECOND_CHANCE) if whole >= soonest else soonest * SECOND_CHANCE
+                # Can't be saved, so it is no reason to hurry; but it must not wait for ever.
+                due = soonest * SECOND_CHANCE
             group = by_due.setdefault(math.floor(due / GROUP), Group(due, 0.0, 0.0, 0.0))
             group.due = min(group.due, due)
             group.work += work
