--- a/src/elmthread/placement/service.py
+++ b/src/elmthread/placement/service.py
@@ -27,9 +27,6 @@
 # of the cores that all such jobs share.
 BEGIN = seconds(150)
 PART = 0.1
-# Stopping a task of a job of which nothing else waits delays the whole job by about this; where
-# others of the same job wait, it only changes which of them comes later.
-TAIL = seconds(20)
 # One machine is given this part of a service's replicas at most, as long as others have room.
 APART = 3
 # Replicas on a machine that will be taken run on where none has room for them, until what is
@@ -288,12 +285,11 @@
                 hold.stop = Stop.SAVE
 
     def _loss(self, hold: Hold, now: timedelta) -> timedelta:
-        """What stopping it costs: what is done again, and the wait of a job that waits for nothing else."""
-        job = hold.job
-        tail = ZERO if job.pending or job.id in self._last else TAIL
         if hold.started_at is None:
-            return tail
-        return tail + (seconds(job.spec.save_s) if job.spec.saves else now - hold.started_at)
+            return ZERO
+        if hold.job.spec.saves:
+            return seconds(hold.job.spec.save_s)
+        return now - hold.started_at
 
     def _stop_for_recall(self, now: timedelta) -> None:
         """On a machine that will be taken: what can't end in time is stopped, saved if it can be."""
