--- a/src/elmthread/sizing/service.py
+++ b/src/elmthread/sizing/service.py
@@ -107,7 +107,7 @@
         if left:
             self._order(machines_for(left, self._offers(left), rooms, MOST_AT_ONCE), pool=False)
         # The band, over the machines of the kind that the most demanding of them may use.
-        templates = [self._placement.want_of(job) for job in daemons if not job.spec.spot]
+        demanding = [job for job in daemons if not job.spec.spot]
         firm = [m for m in self._book.machines.values() if not m.spot and m.serves(now)]
         for_replicas = sum(m.cpus - (m.urgent_cpus - m.standing_cpus) for m in firm)
         for_replicas += sum(
@@ -121,13 +121,13 @@
         # What will be booked by the time a machine rented now is up.
         boot = seconds(max(kind.boot_s for kind in self._fleet.types.values()) * BOOT) + self._operators.check
         soon = booked + self._services.growth(now, booked) * boot.total_seconds()
-        if templates and (band(booked, for_replicas, theta, delta) is Band.RENT or soon > for_replicas):
-            offers = [offer for offer in self._offers(templates) if not offer.spot]
+        if demanding and (band(booked, for_replicas, theta, delta) is Band.RENT or soon > for_replicas):
+            offers = self._offers([self._placement.want_of(job) for job in demanding])
             self._order(refill(offers, max(booked / theta, soon) - for_replicas, MOST_AT_ONCE), pool=False)
         # Those that hold replicas stay in any case, so their room comes first, then the cheapest.
         firm.sort(key=lambda m: (-m.standing_cpus, m.core_price, m.name))
         needed = max(booked / max(theta - delta, 0.05), soon, booked + largest.total * largest.spec.cpus) - booked
-        kept = reserve(((m.name, m.zone, m.cpus - m.urgent_cpus) for m in firm), needed if templates else 0.0)
+        kept = reserve(((m.name, m.zone, m.cpus - m.urgent_cpus) for m in firm), needed if demanding else 0.0)
         for machine in self._book.machines.values():
             machine.kept = machine.name in kept
 
@@ -380,14 +380,13 @@
         """A machine that only replicas keep is not kept for ever: where others have room they move,
         one of a job at a time, since each move costs replica time.
         """
-        holds = list(machine.holds.values())
-        if not holds or any(hold.stop is not None or not hold.job.daemon for hold in holds):
+        if not all(hold.job.daemon for hold in machine.holds.values()):
             return
-        moving: set[str] = set()
-        for hold in holds:
-            if hold.job.id not in moving and hold.job.running == hold.job.total and self._placement.has_room(hold):
-                log.info("%s/%s moves off %s, which is not needed", hold.job.id, hold.task, machine.name)
-                moving.add(hold.job.id)
+        for hold in machine.holds.values():
+            job = hold.job
+            moving = any(other.stop is not None for other in job.live.values())
+            if not moving and job.running == job.total and self._placement.has_room(hold):
+                log.info("%s/%s moves off %s, which is not needed", job.id, hold.task, machine.name)
                 hold.stop = Stop.SAVE
 
     def _move_away(self, machine: Machine, now: timedelta) -> None:
--- a/tests/test_daemons.py
+++ b/tests/test_daemons.py
@@ -341,3 +341,31 @@
     spec = {name: value for name, value in daemon(1).items() if name not in ("true_s", "ends")}
     assert jobs.new(read_submission(spec), seconds(0)).urgent
     assert not jobs.new(read_submission(spec | {"form": "batch"}), seconds(0)).urgent
+
+
+def test_a_machine_is_not_kept_for_replicas_that_others_could_take() -> None:
+    """They move one at a time, so a service is never without more than one of them."""
+
+    async def script(world: World) -> None:
+        ordinary(world, 2)
+        await asyncio.sleep(5)
+        # Work of three cores on each machine leaves room for one replica on each.
+        assert await world.submit(job(1, urgency="high", pieces=6, cpus=3.0, true_s=30.0, expected_s=30.0))
+        await asyncio.sleep(6)
+        assert await world.submit(daemon(2, pieces=6, scatter=False))
+        await served(world, "run-000002", 15, 6)
+        assert len({name for name, task in world.rules.where if task.startswith("run-000002")}) == 6
+        await asyncio.sleep(300)
+        # A move costs replica time: nothing is emptied lightly.
+        assert len({name for name, _ in world.rules.where}) == 6
+        least = 6
+        for _ in range(2000):
+            await asyncio.sleep(0.5)
+            least = min(least, world.rules.serving("run-000002"))
+        assert least == 5
+        assert max(world.rules.starts[f"run-000002/{task}"] for task in range(6)) <= 2
+        assert len({name for name, _ in world.rules.where}) < 6
+        assert len(world.cloud.machines) < 6
+        assert world.rules.serving("run-000002") == 6
+
+    day(script, machines=0)
