--- a/tests/test_daemons.py
+++ b/tests/test_daemons.py
@@ -364,8 +364,9 @@
             least = min(least, world.rules.serving("run-000002"))
         assert least == 5
         assert max(world.rules.starts[f"run-000002/{task}"] for task in range(6)) <= 2
-        assert len({name for name, _ in world.rules.where}) < 6
-        assert len(world.cloud.machines) < 6
+        # What stays is what the band keeps; one machine less could be chance, as answers get lost.
+        assert len({name for name, _ in world.rules.where}) <= 4
+        assert len(world.cloud.machines) <= 4
         assert world.rules.serving("run-000002") == 6
 
     day(script, machines=0)
