--- a/tests/test_daemons.py
+++ b/tests/test_daemons.py
@@ -370,3 +370,19 @@
         assert world.rules.serving("run-000002") == 6
 
     day(script, machines=0)
+
+
+def test_aims_for_a_class_of_services_say_how_soon_its_replicas_are_to_serve() -> None:
+    from elmthread.intake.jobs import Jobs
+    from elmthread.intake.messages import read_submission
+    from elmthread.settings import operators, platform
+    from tests.world.world import settings
+
+    facts = platform.parse(settings("loom-0", ["loom-0"])).facts
+    spec = read_submission({name: value for name, value in daemon(1).items() if name not in ("true_s", "ends")})
+    due = []
+    for kind, within, after in (("none", None, None), ("wait", 20.0, None), ("up", None, 12.0), ("finished", 5.0, None)):
+        facts.objectives.append(platform.Objective(kind, "gateway", within_s=within, after_s=after))
+        due.append(Jobs(facts, operators.load(None)).new(spec, seconds(0)).deadline)
+    # An end is nothing that a service could be judged by.
+    assert due == [seconds(3600), seconds(20), seconds(12), seconds(12)]
