--- a/tests/test_daemons.py
+++ b/tests/test_daemons.py
@@ -381,7 +381,8 @@
     facts = platform.parse(settings("loom-0", ["loom-0"])).facts
     spec = read_submission({name: value for name, value in daemon(1).items() if name not in ("true_s", "ends")})
     due = []
-    for kind, within, after in (("none", None, None), ("wait", 20.0, None), ("up", None, 12.0), ("finished", 5.0, None)):
+    aims = [("none", None, None), ("wait", 20.0, None), ("up", None, 12.0), ("finished", 5.0, None)]
+    for kind, within, after in aims:
         facts.objectives.append(platform.Objective(kind, "gateway", within_s=within, after_s=after))
         due.append(Jobs(facts, operators.load(None)).new(spec, seconds(0)).deadline)
     # An end is nothing that a service could be judged by.
