--- a/tests/test_daemons.py
+++ b/tests/test_daemons.py
@@ -1,15 +1,21 @@
 """Services: replicas run until they are withdrawn, and return after whatever ends them."""
 
 import asyncio
+import json
 from collections.abc import Callable
 from typing import Any
 
 import pytest
 
 from elmthread.common.clock import seconds
+from elmthread.intake.jobs import Jobs
+from elmthread.intake.messages import read_submission
 from elmthread.placement.book import Job
+from elmthread.placement.decide import Want
+from elmthread.placement.service import may_ever_run
+from elmthread.settings import operators, platform
 from tests.test_world import day, set_apart, start
-from tests.world.world import ZONES, World, daemon, job
+from tests.world.world import ZONES, World, daemon, job, sent, settings
 
 
 def ordinary(world: World, each: int = 2) -> None:
@@ -73,8 +79,6 @@
 
 
 def slots_of(world: World) -> list[list[str]]:
-    import json
-
     return [list(json.loads(value["text"])) for key, (value, _, _) in world.store.items.items() if key[:2] == "s/"]
 
 
@@ -232,12 +236,8 @@
 
 
 def test_cards_of_all_replicas_count_against_the_limit() -> None:
-    from elmthread.placement.decide import Want
-    from elmthread.placement.service import may_ever_run
-    from elmthread.settings.platform import Team
-
     types = [("g8", 96.0, 8.0, 768.0, ["east"])]
-    limit = Team("red", cards_max=8.0)
+    limit = platform.Team("red", cards_max=8.0)
     assert may_ever_run(Want("u", "red", (), 2, 1.0, 4.0, 1.0), limit, types) is None
     assert may_ever_run(Want("u", "red", (), 3, 1.0, 4.0, 1.0), limit, types) is not None
 
@@ -331,14 +331,9 @@
 
 def test_services_are_urgent_whatever_the_operators_say() -> None:
     """Deferrable work is judged by its deadline; a service has none, and would wait beside all of it."""
-    from elmthread.intake.jobs import Jobs
-    from elmthread.intake.messages import read_submission
-    from elmthread.settings import operators, platform
-    from tests.world.world import settings
-
     facts = platform.parse(settings("loom-0", ["loom-0"])).facts
     jobs = Jobs(facts, operators.parse("urgent = \"priority == 'high'\""))
-    spec = {name: value for name, value in daemon(1).items() if name not in ("true_s", "ends")}
+    spec = sent(daemon(1))
     assert jobs.new(read_submission(spec), seconds(0)).urgent
     assert not jobs.new(read_submission(spec | {"form": "batch"}), seconds(0)).urgent
 
@@ -373,13 +368,8 @@
 
 
 def test_aims_for_a_class_of_services_say_how_soon_its_replicas_are_to_serve() -> None:
-    from elmthread.intake.jobs import Jobs
-    from elmthread.intake.messages import read_submission
-    from elmthread.settings import operators, platform
-    from tests.world.world import settings
-
     facts = platform.parse(settings("loom-0", ["loom-0"])).facts
-    spec = read_submission({name: value for name, value in daemon(1).items() if name not in ("true_s", "ends")})
+    spec = read_submission(sent(daemon(1)))
     due = []
     aims = [("none", None, None), ("wait", 20.0, None), ("up", None, 12.0), ("finished", 5.0, None)]
     for kind, within, after in aims:
--- a/tests/test_versions.py
+++ b/tests/test_versions.py
@@ -18,7 +18,7 @@
 from tests.test_rollout import begin_old, fall, upgrade
 from tests.test_world import befall, day, restore
 from tests.world import earlier
-from tests.world.world import World, daemon, job
+from tests.world.world import World, daemon, job, sent
 
 SAMPLES: dict[str, Any] = json.loads((Path(__file__).parent / "samples" / "production.json").read_text())
 
@@ -44,7 +44,7 @@
 
 def test_the_model_refuses_what_the_earlier_version_could_not_read() -> None:
     """A reader that reads anything would find nothing."""
-    spec = {name: value for name, value in daemon(1).items() if name not in ("true_s", "ends")}
+    spec = sent(daemon(1))
     bad: list[dict[str, Any]] = [
         {"j/run-000001": {"state": "open", "tasks": 3, "at": 1.0, "chunk": 64, "spec": spec}},
         {"j/run-000001": {"state": "standing", "tasks": 3}},
@@ -101,7 +101,7 @@
     for text in SAMPLES["frames"]:
         message = decode(text.encode())
         assert json.loads(encode(message)) == json.loads(text)
-    spec = {name: value for name, value in job(1).items() if name != "true_s"}
+    spec = sent(job(1))
     for message in (
         Lead("loom-1", 41, "loom-0", 2, [("m-000001", 1, 88)], 46),
         Ask(5, "submit", "run-000001", 41, msgspec.to_builtins(read_submission(spec))),
--- a/tests/world/world.py
+++ b/tests/world/world.py
@@ -152,6 +152,11 @@
     ) | changes
 
 
+def sent(spec: dict[str, Any]) -> dict[str, Any]:
+    """What a user sends of it: the rest is for the stand-in workers only."""
+    return {name: value for name, value in spec.items() if name not in ("true_s", "ends")}
+
+
 class World:
     def __init__(self, seed: int = 1, controllers: int = 3, each: int = 3) -> None:
         """`each` machines can be had of every type, zone and kind."""
