Cancellations are told only once they can be kept; every answer stops what is cancelled

Cause: the bound on holding covered what an earlier leader answers, not two other terms. A new leader's first answer gave its token alone and renewed the lease of cancelled tasks, so leaders that change faster than reports come would let them run on; and where cancel_s is hardly longer than a lease, or shorter, a confirmation promised what nobody could keep. Looking for the gap with five controllers found a third thing: in a fleet of under ten machines one that lost an answer counted as many and was sent round all nodes, which cost it its lease.

--- a/src/elmthread/agents/reach.py
+++ b/src/elmthread/agents/reach.py
@@ -57,7 +57,8 @@
         # Taken out first: the last that came stand last.
         self._came.pop(sender.machine, None)
         self._came[sender.machine] = (self._clock(), sender.session, sender.sequence)
-        many = self._machines * MANY
+        # One is never many: in a small fleet, the round of all nodes would cost it its lease.
+        many = max(1.0, self._machines * MANY)
         return Response(421, elsewhere(leader if len(self._came) <= many else None))
 
     def strays(self, token: int) -> tuple[int, list[Stray]]:
--- a/src/elmthread/agents/service.py
+++ b/src/elmthread/agents/service.py
@@ -93,7 +93,7 @@
             # leader can change any more. Until then this may be a late copy of a report that
             # an earlier leader has had: it is no sign of life.
             machine.newest = (report.session, report.sequence)
-            return self._answer(machine, [])
+            return self._answer(machine, self._over(report))
         self._listen(machine, report, request.answered_at, now)
         machine.newest = (report.session, report.sequence)
         machine.reported_at = now
@@ -107,6 +107,20 @@
         commands += self._commands(machine)
         return self._answer(machine, commands[:MOST_ORDERS])
 
+    def _over(self, report: Report) -> list[dict[str, Any]]:
+        """Stops of what belongs to jobs that are over: right whenever the report was made.
+
+        An answer renews the lease. If leaders changed so often that each only gave its token,
+        cancelled tasks would run on.
+        """
+        stops = []
+        for task in report.tasks:
+            name = task.split()
+            job = self._book.jobs.get(name[0]) if name and task.state != "exited" else None
+            if job is not None and not job.open:
+                stops.append(messages.halt(task.name, task.attempt, 0.0))
+        return stops[:MOST_ORDERS]
+
     def _answer(self, machine: Machine, commands: list[dict[str, Any]]) -> Response:
         machine.answered_at = self._clock()
         body = messages.orders(self._tenure.token, commands)
--- a/src/elmthread/agents/tests/test_reach.py
+++ b/src/elmthread/agents/tests/test_reach.py
@@ -45,6 +45,18 @@
     assert reach.strays(9) == (0, [])
 
 
+def test_one_alone_is_sent_back_however_small_the_fleet() -> None:
+    """Sent round all nodes for one lost answer, it would reach its leader after its lease."""
+    reach = Reach(lambda: seconds(0), seconds(7))
+    reach.hear("a", 0, [], 9, 6)
+
+    def comes(machine: str) -> object:
+        body = {"loom": machine, "baton": 9, "shift": 1, "tally": 1}
+        return reach.turn_away(Request("POST", "/", {}, cbor2.dumps(body)), "a", 9).body
+
+    assert comes("m-1") == {"foreman": "a"} and comes("m-1") == {"foreman": "a"} and comes("m-2") == {}
+
+
 def test_what_another_node_says_counts_as_far_as_it_is_news() -> None:
     now = [seconds(0)]
     reach = Reach(lambda: now[0], seconds(7))
--- a/src/elmthread/controller.py
+++ b/src/elmthread/controller.py
@@ -8,7 +8,7 @@
 from elmthread.agents.messages import BEAT
 from elmthread.agents.reach import Reach
 from elmthread.agents.service import Agents
-from elmthread.common.clock import Clock, seconds, steady
+from elmthread.common.clock import Clock, at_least, at_most, seconds, steady
 from elmthread.common.http import Caller, Client, Crowd, Request, Response, Server
 from elmthread.common.load import Kind, Load
 from elmthread.fleet.client import CloudClient
@@ -38,6 +38,8 @@
 # Telling a user `cancelled` is right only if a machine that nobody reaches is empty within
 # cancel_s: an old leader's last answers and the worker's lease must both fit into it.
 CANCEL_SLACK = seconds(4)
+# Longer than this no leader holds on, whatever the limits allow: a new one has to wait it out.
+MOST_HELD = seconds(60)
 ROUND = seconds(0.1)
 GATHER = seconds(0.5)
 # A leader that reaches nobody but the state service gives way, though not more often than this.
@@ -65,7 +67,7 @@
 def holding_time(platform: Platform) -> timedelta:
     """How long workers may be answered on a lease that is no longer sure."""
     workers = platform.facts.workers
-    return max(seconds(0), min(workers.cancel - workers.lease - CANCEL_SLACK, seconds(60)))
+    return max(seconds(0), min(at_most(workers.cancel) - at_least(workers.lease) - CANCEL_SLACK, MOST_HELD))
 
 
 class Leader:
@@ -138,6 +140,8 @@
             lambda: bool(self.fleet.types),
             self.accepted,
             users_at_once(platform),
+            facts.workers.cancel,
+            self.fleet.empty_by,
         )
         self.agents = Agents(
             self.book,
--- a/src/elmthread/fleet/service.py
+++ b/src/elmthread/fleet/service.py
@@ -422,17 +422,20 @@
             last = self._unsure_until - self._lease
         return now - last
 
+    def empty_by(self, machine: Machine) -> timedelta:
+        """When the machine's lease has surely run out, if no answer reaches it from now on.
+
+        An earlier leader may have answered it for as long as it might hold, so a machine that
+        has not reported to this one is counted from there.
+        """
+        if machine.answered_at is None:
+            return self._unsure_until
+        until = machine.answered_at + at_least(self._lease) + seconds(0.5)
+        return max(until, self._unsure_until) if machine.state is MachineState.UNSURE else until
+
     def _expire(self, machine: Machine, now: timedelta) -> None:
         """Drops the holds of a machine whose lease has surely run out."""
-        if not machine.holds:
-            return
-        if machine.answered_at is None:
-            until = self._unsure_until
-        else:
-            until = machine.answered_at + at_least(self._lease) + seconds(0.5)
-            if machine.state is MachineState.UNSURE:
-                until = max(until, self._unsure_until)
-        if now > until:
+        if machine.holds and now > self.empty_by(machine):
             log.info("the lease of %s has run out", machine.name)
             machine.silent_sessions = machine.newest[0]
             self._book.drop_all(machine, now)
--- a/src/elmthread/intake/service.py
+++ b/src/elmthread/intake/service.py
@@ -6,14 +6,14 @@
 from datetime import timedelta
 from typing import Any
 
-from elmthread.common.clock import Clock, seconds
+from elmthread.common.clock import ZERO, Clock, at_most, seconds
 from elmthread.common.http import Response, again
 from elmthread.intake import messages
 from elmthread.intake.messages import Submission
 from elmthread.leadership.election import Tenure
 from elmthread.ledger.records import done_key, done_record, job_key, job_record
 from elmthread.ledger.writer import Rank, Stopped, Writer
-from elmthread.placement.book import Book, Job, JobState
+from elmthread.placement.book import Book, Job, JobState, Machine
 
 log = logging.getLogger(__name__)
 
@@ -22,6 +22,10 @@
 DURABLE_TIME = seconds(3.5)
 # The store has not taken a change for this long: say so at once instead of waiting.
 FAILING = seconds(1)
+# A worker kills its tasks this long after its lease has run out, at the latest.
+LATE = seconds(1)
+# Users come back after this at the latest.
+LONGEST = seconds(30)
 
 
 class Intake:
@@ -36,8 +40,12 @@
         types_known: Callable[[], bool],
         changed: Callable[[], None],
         most_waiting: int,
+        cancel: timedelta,
+        empty_by: Callable[[Machine], timedelta],
     ) -> None:
         self._most_waiting = most_waiting
+        self._cancel = cancel
+        self._empty_by = empty_by
         self._book = book
         self._tenure = tenure
         self._writer = writer
@@ -81,7 +89,7 @@
                 return failed
         if not self._tenure.leads():
             return again(503, SOON, "not leading")
-        return Response(201 if created else 200, self._describe(known))
+        return self._tell(known, Response(201 if created else 200, self._describe(known)))
 
     def _too_busy(self) -> Response | None:
         failing = self._writer.failing_since
@@ -139,7 +147,7 @@
         if job.stored is None:
             # Submitted, but not durable: neither known nor unknown.
             return again(503, SOON, "not durable yet")
-        return Response(200, self._describe(job))
+        return self._tell(job, Response(200, self._describe(job)))
 
     async def withdraw(self, job_id: str) -> Response:
         job = self._book.jobs.get(job_id)
@@ -167,7 +175,23 @@
         if not self._tenure.leads():
             return again(503, SOON, "not leading")
         assert job.stored is not None
-        return Response(200, messages.status(job.id, job.stored.value))
+        return self._tell(job, Response(200, messages.status(job.id, job.stored.value)))
+
+    def _tell(self, job: Job, response: Response) -> Response:
+        """The answer that names the job's state, or when to ask again while that can't be told.
+
+        From the moment a user hears `cancelled`, all must be gone within `cancel_s`. A machine that
+        can't be reached is empty once its lease has run out, as this leader and every earlier one
+        can have renewed it; where that might be later, nobody hears of it yet. Neither is an older
+        state told: an earlier leader may have told this one.
+        """
+        if job.stored is JobState.CANCELLED:
+            gone = max((self._empty_by(hold.machine) for hold in job.live.values()), default=ZERO)
+            early = gone - self._clock() - at_most(self._cancel) + LATE
+            if early > ZERO:
+                log.info("%s is cancelled, which can't be told for %.1f s", job.id, early.total_seconds())
+                return again(503, min(max(early, SOON), LONGEST), "its tasks may not be gone in time")
+        return response
 
     def _describe(self, job: Job) -> dict[str, Any]:
         """The job as the store has it; done and running counts are for display."""
--- a/src/elmthread/intake/tests/test_service.py
+++ b/src/elmthread/intake/tests/test_service.py
@@ -62,6 +62,8 @@
         lambda: True,
         lambda: None,
         most,
+        seconds(30),
+        lambda machine: machine.known_since,
     )
     return loop, store, lease, one
 
--- a/src/elmthread/settings/tests/test_settings.py
+++ b/src/elmthread/settings/tests/test_settings.py
@@ -9,7 +9,7 @@
 from elmthread.settings.platform import BadSettings
 from tests.world.world import SETTINGS
 
-GOOD = SETTINGS.format(node="loom-0", others="", next="")
+GOOD = SETTINGS.format(node="loom-0", others="", next="", cancel=30.0)
 
 
 def test_platform_file_with_unknown_fields() -> None:
@@ -87,7 +87,7 @@
 
 def test_the_stricter_of_the_stores_limits_now_and_next_is_kept() -> None:
     def kept(extra: str) -> tuple[float, float, float, int]:
-        state = platform.parse(SETTINGS.format(node="loom-0", others="", next=extra)).facts.state.kept()
+        state = platform.parse(SETTINGS.format(node="loom-0", others="", next=extra, cancel=30.0)).facts.state.kept()
         return state.rps, state.write_rps, state.value_kb, state.txn_ops
 
     now = kept("")
--- /dev/null
+++ b/tests/test_gap.py
@@ -0,0 +1,188 @@
+"""The gap: an earlier leader that can't know of a cancellation, and a store that nobody reaches.
+
+The state service refuses the leader alone, another controller wins and confirms cancellations,
+then the service is down for all, for longer than `cancel_s`, while workers still report to the
+earlier leader. Those tasks must be gone within `cancel_s` of the confirmation all the same.
+"""
+
+import asyncio
+from collections import Counter
+from collections.abc import Awaitable, Callable
+from functools import partial
+
+import pytest
+
+from elmthread.leadership.election import Role
+from tests.test_world import day, restore, start
+from tests.world.world import World, job
+
+PIECES = 3
+
+
+async def watch(world: World, seen: Counter[str]) -> None:
+    """Judges presence all the time, and notes how often the gap was really there."""
+    while True:
+        await asyncio.sleep(0.2)
+        world.rules.check_cancelled()
+        held = [one for one in world.controllers.values() if one.election.role is Role.HOLDING]
+        seen["two hold"] += len(held) > 1
+        for job_id in world.rules.cancelled_at:
+            if any(task.startswith(job_id) for _, task in world.rules.where):
+                seen["present after"] += 1
+                seen["present, held by an earlier leader"] += len(held) > 0
+
+
+async def gap(world: World, ids: list[str]) -> None:
+    """One round: refused alone, cancelled through another, down for all."""
+    rng = world.rng
+    old = world.leader
+    assert old is not None
+    name = old.api._node
+    peers_too = rng.random() < 0.7
+    world.ports[name][0].trouble.refused = True
+    if peers_too:
+        world.apart.add(name)
+    refused_for = rng.choice([rng.uniform(2, 20), 90.0])
+
+    def again() -> None:
+        world.apart.discard(name)
+        world.ports[name][0].trouble.refused = False
+
+    def cut_again() -> None:
+        """What a process finds when it is back: its node is still refused."""
+        if world.loop.now < refused_until and name in world.controllers:
+            world.ports[name][0].trouble.refused = True
+
+    refused_until = world.loop.now + refused_for
+    world.loop.call_later(refused_for, again)
+    calls = [
+        world.loop.create_task(delayed(rng.uniform(0.0, 6.0), partial(world.withdraw, job_id, 50.0)))
+        for job_id in ids
+    ]
+    await asyncio.sleep(rng.uniform(0.5, 6.0))
+    world.store.outage(True)
+    end = world.loop.now + world.cancel + rng.uniform(1, 15)
+    if rng.random() < 0.3:
+        world.loop.create_task(world.stand_still(name, rng.uniform(0.5, 6.0)))
+    crash = rng.choice([rng.uniform(0, 30), None])
+    while world.loop.now < end:
+        await asyncio.sleep(rng.uniform(1, 8))
+        if crash is not None and world.loop.now > end - world.cancel + crash:
+            # A process ends and is back at once, the holding one or any other.
+            crash = None
+            victim = rng.choice(list(world.controllers))
+            world.kill(victim)
+            world.loop.call_later(rng.uniform(0.05, 0.9), partial(start, world, victim))
+            world.loop.call_later(1.0, cut_again)
+        if rng.random() < 0.2 and world.workers:
+            worker = rng.choice(list(world.workers.values()))
+            worker.hung = True
+            world.loop.call_later(rng.uniform(1, 20), setattr, worker, "hung", False)
+    world.store.outage(False)
+    for call in calls:
+        call.cancel()
+
+
+async def delayed(pause: float, begin: Callable[[], Awaitable[object]]) -> None:
+    await asyncio.sleep(pause)
+    await begin()
+
+
+@pytest.mark.parametrize(("controllers", "seeds"), [(3, range(8)), (5, range(8, 14)), (7, range(14, 18))])
+def test_cancelled_tasks_are_gone_in_time_whoever_confirmed_and_whoever_holds(controllers: int, seeds: range) -> None:
+    seen: Counter[str] = Counter()
+
+    async def script(world: World) -> None:
+        watcher = world.loop.create_task(watch(world, seen))
+        ids = []
+        for number in range(16):
+            spec = job(number, pieces=PIECES, true_s=150.0, expected_s=150.0)
+            assert await world.submit(spec)
+            ids.append(spec["name_id"])
+        await asyncio.sleep(10)
+        for round_ in range(2):
+            await gap(world, ids[round_ * 6 : round_ * 6 + 6])
+            await asyncio.sleep(world.rng.uniform(2, 20))
+        restore(world)
+        states = await world.until_over(ids, 400)
+        assert set(states.values()) <= {"done", "cancelled"}, states
+        watcher.cancel()
+
+    for seed in seeds:
+        day(script, seed=seed, controllers=controllers, each=1, machines=6)
+    # The meeting was there: confirmed, on machines still, and an earlier leader answering them.
+    assert seen["present, held by an earlier leader"] > 0, seen
+
+
+@pytest.mark.parametrize("cancel", [6.0, 13.0, 17.0])
+def test_a_cancellation_that_could_not_be_kept_is_not_confirmed_yet(cancel: float) -> None:
+    """Where `cancel_s` leaves no time to hold on, or is shorter than a lease, the confirmation waits."""
+
+    async def script(world: World) -> None:
+        seen: Counter[str] = Counter()
+        watcher = world.loop.create_task(watch(world, seen))
+        assert await world.submit(job(1, pieces=20, true_s=60.0, expected_s=60.0))
+        assert await world.submit(job(2, pieces=2, true_s=200.0, expected_s=200.0))
+        await asyncio.sleep(10)
+        # No machine can be asked: until their leases have surely run out, nobody may say `cancelled`.
+        for worker in list(world.workers):
+            world.cut_workers |= {(worker, node) for node in world.nodes}
+        await asyncio.sleep(0.5)
+        began = world.loop.now
+        answer = await world.ask("POST", "/submissions/run-000001/withdraw")
+        world.rules.asked_to_cancel.add("run-000001")
+        if cancel < 12.0:
+            assert answer.status == 503 and answer.retry_after is not None
+            assert world.loop.now - began < 1
+            # Nor does any node say it otherwise.
+            for node in world.nodes:
+                assert (await world.ask("GET", "/submissions/run-000001", node=node)).status == 503
+        assert await world.withdraw("run-000001", 40.0) == "cancelled"
+        assert world.loop.now - began < 20
+        await asyncio.sleep(5)
+        world.cut_workers.clear()
+        await asyncio.sleep(40)
+        # A leader is refused alone, with its workers: it does not hold on, or not for longer than it may.
+        name = world.leader.api._node if world.leader is not None else ""
+        world.ports[name][0].trouble.refused = True
+        world.apart.add(name)
+        await asyncio.sleep(4)
+        await world.withdraw("run-000002", 30.0)
+        await asyncio.sleep(30)
+        restore(world)
+        await asyncio.sleep(5)
+        watcher.cancel()
+
+    for seed in range(3):
+        day(script, seed=seed, cancel=cancel)
+
+
+def test_each_answer_stops_what_is_cancelled_even_a_new_leaders_first() -> None:
+    """Leaders that change faster than reports come would else only renew leases, each with its token."""
+
+    async def script(world: World) -> None:
+        assert await world.submit(job(1, pieces=6, true_s=200.0, expected_s=200.0))
+        assert await world.submit(job(2, pieces=2, true_s=200.0, expected_s=200.0))
+        await asyncio.sleep(8)
+        assert await world.withdraw("run-000001") == "cancelled"
+        listed = {
+            name: [task for on, task in world.rules.where if on == name] for name in world.workers
+        }
+        body = next(
+            worker._body() for worker in world.workers.values() if any("000001" in task for task in listed[worker.name])
+        )
+        old = world.leader
+        assert old is not None
+        world.kill(old.api._node)
+        await asyncio.sleep(5)
+        assert world.leader is not None and world.leader is not old
+        world.leader.leader.book.machines[body["loom"]].newest = (0, 0)  # type: ignore[union-attr]
+        answer = await world.report(body, world.leader.api._node)
+        assert answer.status == 200 and answer.body["baton"] > body["baton"]
+        told = {(order["verb"], order["piece"], order["try"]) for order in answer.body["orders"]}
+        running = [one for one in body["pieces"] if one["piece"].startswith("run-000001") and one["status"] != "exited"]
+        # Exactly what is cancelled is stopped; what runs on is left alone, as the report may be an old copy.
+        assert running and told == {("halt", one["piece"], one["try"]) for one in running}
+        world.start(old.api._node)
+
+    day(script, machines=2, each=0)
--- a/tests/test_world.py
+++ b/tests/test_world.py
@@ -22,8 +22,9 @@
     controllers: int = 3,
     each: int = 3,
     before: Callable[[World], None] = lambda world: None,
+    cancel: float = 30.0,
 ) -> World:
-    world = World(seed, controllers, each)
+    world = World(seed, controllers, each, cancel)
     before(world)
 
     async def main() -> None:
@@ -381,7 +382,7 @@
     for name in list(world.loop.still):
         world.loop.go_on(name)
     world.store.outage(False)
-    for name in NODES:
+    for name in world.nodes:
         if name not in world.controllers:
             world.start(name)
         trouble = world.ports[name][0].trouble
--- a/tests/world/world.py
+++ b/tests/world/world.py
@@ -78,7 +78,7 @@
 [facts.workers]
 report_s = 3.0
 lease_s = 12.0
-cancel_s = 30.0
+cancel_s = {cancel}
 [facts.state]
 rps = 120.0
 write_rps = 30.0
@@ -99,7 +99,7 @@
 NEXT = {"value_kb": 2.0, "txn_ops": 4, "write_rps": 15.0}
 
 
-def settings(node: str, nodes: list[str], limits: dict[str, float] | None = None) -> str:
+def settings(node: str, nodes: list[str], limits: dict[str, float] | None = None, cancel: float = 30.0) -> str:
     others = "".join(
         f'[[others]]\nnode_name = "{other}"\nsite = "east"\naddress = "10.0.0.1:8081"\n'
         for other in nodes
@@ -107,7 +107,7 @@
     )
     next_limits = "" if limits is None else "[facts.state.next]\n"
     next_limits += "".join(f"{name} = {value}\n" for name, value in (limits or {}).items())
-    return SETTINGS.format(node=node, others=others, next=next_limits)
+    return SETTINGS.format(node=node, others=others, next=next_limits, cancel=cancel)
 
 
 def job(number: int, **changes: Any) -> dict[str, Any]:
@@ -158,8 +158,9 @@
 
 
 class World:
-    def __init__(self, seed: int = 1, controllers: int = 3, each: int = 3) -> None:
-        """`each` machines can be had of every type, zone and kind."""
+    def __init__(self, seed: int = 1, controllers: int = 3, each: int = 3, cancel: float = 30.0) -> None:
+        """`each` machines can be had of every type, zone and kind; `cancel` is the settings' `cancel_s`."""
+        self.cancel = cancel
         # The next limits in the settings, and nodes that run a version which knows of none: this
         # one with other settings, or really an earlier one (`tests/both.py`).
         self.limits: dict[str, float] | None = None
@@ -169,8 +170,9 @@
         self.loop = SimLoop()
         asyncio.set_event_loop(self.loop)
         self.rng = random.Random(seed)
+        self.drifts = random.Random(seed + 1)
         random.seed(seed)
-        self.rules = Rules(self.loop, {"red": 12.0, "blue": float("inf")}, 30.0)
+        self.rules = Rules(self.loop, {"red": 12.0, "blue": float("inf")}, cancel)
         self.store = StateStore(self.loop, self.rng, 8, 8 * 1024, 30.0)
         capacity = {(t["name"], zone, spot): each for t in TYPES for zone in ZONES for spot in (True, False)}
         self.cloud = CloudStand(self.loop, self.rng, TYPES, 3.0, capacity)
@@ -252,7 +254,7 @@
         limits = None if node in self.old and self.earlier is None else self.limits
         operators = self.code(node, "settings.operators")
         controller: Controller = self.code(node, "controller").Controller(
-            self.code(node, "settings.platform").parse(settings(node, self.nodes, limits)),
+            self.code(node, "settings.platform").parse(settings(node, self.nodes, limits, self.cancel)),
             operators.Operators(operators.Raw()),
             lambda: self.loop.clock(self.drift[node]),
             state,
@@ -334,7 +336,8 @@
             machine.zone,
             machine.spot,
             3.0,
-            12.0,
+            # A worker's clock drifts from everybody else's.
+            12.0 * (1 + self.drifts.uniform(-0.0005, 0.0005)),
         )
 
     def _ended(self, name: str) -> None:
