--- a/src/elmthread/ledger/log.py
+++ b/src/elmthread/ledger/log.py
@@ -112,10 +112,7 @@
 
     def take(self) -> Slot:
         """A slot that may be written over; `written` must follow."""
-        if self._free:
-            slot = self._free.pop()
-        else:
-            slot = self._new()
+        slot = self._free.pop() if self._free else self._new()
         self._taken.add(slot.key)
         return slot
 
--- a/tests/world/rules.py
+++ b/tests/world/rules.py
@@ -5,6 +5,7 @@
 """
 
 from collections import Counter
+from collections.abc import Callable
 from typing import Any
 
 from tests.world.loop import SimLoop
@@ -21,7 +22,13 @@
         self.zones_of: dict[str, Counter[str]] = {}  # job -> zones of its tasks
         self.zones: dict[str, str] = {}
         self.finished: set[str] = set()
-        self.told: dict[str, str] = {}
+        # What users were told of each job, and when, where it changed.
+        self.history: dict[str, list[tuple[float, str]]] = {}
+        # Jobs that must never be accepted, as they can't run or lack a field.
+        self.impossible: set[str] = set()
+        # Tasks that began after their job's user was told that it is cancelled.
+        self.late_starts: list[str] = []
+        self.waiting: dict[str, float] = {}
         self.cancelled_at: dict[str, float] = {}
         self.asked_to_cancel: set[str] = set()
         self.broken: list[str] = []
@@ -42,6 +49,8 @@
         spec = self.specs[job]
         self.starts[task] += 1
         self.first_start.setdefault(job, self.loop.now)
+        if job in self.cancelled_at:
+            self.late_starts.append(f"{self.loop.now:.2f} {task} on {machine}, told at {self.cancelled_at[job]:.2f}")
         if self.machines_of.get(task):
             self._break("ran_twice", f"{task} on {machine}")
         self.machines_of.setdefault(task, []).append(machine)
@@ -88,21 +97,27 @@
                     if task.rpartition("/")[0] == job:
                         self._break("ran_cancelled", f"{task} on {machine}")
 
-    def heard(self, job: str, status: int, state: str | None) -> None:
-        """A user was answered about a job."""
-        before = self.told.get(job)
+    def heard(self, job: str, status: int, state: str | None, asked: float | None = None) -> None:
+        """A user was answered about a job, on a question asked then; any user at any node counts.
+
+        An answer may be as old as its question: what was told before that, nothing may go back on.
+        """
+        asked = self.loop.now if asked is None else asked
+        before = next((told for at, told in reversed(self.history.get(job, [])) if at <= asked), None)
         if status in (200, 201):
             self.unanswered.pop(job, None)
         elif before is not None and before != "cancelled":
             since = self.unanswered.setdefault(job, self.loop.now)
             if self.calm_since is not None and self.loop.now - max(since, self.calm_since) > 75:
                 self._break("forgotten", f"{job}: no question answered since {since:.1f}")
-        if status == 200 and job not in self.specs:
+        if status in (200, 201) and job not in self.specs:
             self._break("invented", job)
         if status in (400, 404, 422) and before is not None:
             self._break("forgotten", f"{job} got {status}")
-        if status not in (200, 201) or state is None:
+        if status not in (200, 201) or state is None or job not in self.specs:
             return
+        if job in self.impossible:
+            self._break("accepted", f"{job}, which can't run or lacks a field")
         if state == "done":
             spec = self.specs[job]
             if spec["form"] != "batch":
@@ -112,8 +127,40 @@
                 self._break("not_done", f"{job}: {missing[:5]}")
         if before in ("done", "cancelled") and state != before:
             self._break("went_back", f"{job}: {before} then {state}")
+        ends = {told for _, told in self.history.get(job, []) if told in ("done", "cancelled")}
+        if state in ("done", "cancelled") and ends - {state}:
+            self._break("went_back", f"{job}: {ends} and {state}")
         if state == "cancelled":
             if job not in self.asked_to_cancel:
                 self._break("went_back", f"{job} cancelled unasked")
             self.cancelled_at.setdefault(job, self.loop.now)
-        self.told[job] = state
+        if not self.history.get(job) or self.history[job][-1][1] != state:
+            self.history.setdefault(job, []).append((self.loop.now, state))
+
+    @property
+    def told(self) -> dict[str, str]:
+        """What users were told last, by job."""
+        return {job: told[-1][1] for job, told in self.history.items()}
+
+    def check_waiting(self, room: Callable[[dict[str, Any]], bool]) -> None:
+        """Once all troubles are over, no job waits for 90 s while a machine that fits has room.
+
+        `room` says whether some machine that serves has it for a task of that spec.
+        """
+        for job, spec in self.specs.items():
+            told = self.told.get(job)
+            on = +self.zones_of.get(job, Counter())
+            waits = (
+                told in ("queued", "running")
+                and spec["form"] == "batch"
+                and not on
+                and any(f"{job}/{n}" not in self.finished for n in range(spec["pieces"]))
+                and self.used[spec["crew"]] + spec["cpus"] <= self.limits[spec["crew"]]
+                and room(spec)
+            )
+            since = self.waiting.setdefault(job, self.loop.now) if waits else None
+            if since is None:
+                self.waiting.pop(job, None)
+            elif self.calm_since is not None and self.loop.now - max(since, self.calm_since) > 90:
+                self._break("waits", f"{job} since {since:.1f}")
+                self.waiting[job] = self.loop.now
--- a/tests/world/services.py
+++ b/tests/world/services.py
@@ -275,6 +275,7 @@
     born: Any = None  # called with each machine that comes up
     ended: Any = None  # called with the name of each that is gone
     next_name: int = 1
+    quick: bool = False  # machines are up within two seconds
 
     def add(self, build: str, zone: str, spot: bool, boot: float) -> Rented:
         name = f"m-{self.next_name:06d}"
@@ -313,6 +314,8 @@
         if count <= 0:
             return Answer(503, {"error": "no capacity"})
         boot = next(kind["ready_s"] for kind in self.types if kind["name"] == body["build"])
+        if self.quick:
+            boot = 1.3
         names = [self.add(*kind, boot * self.rng.uniform(0.6, 1.5)).name for _ in range(count)]
         self.requests[body["hire"]] = names
         return Answer(200, {"looms": names})
--- a/tests/world/workers.py
+++ b/tests/world/workers.py
@@ -94,7 +94,9 @@
                     spec = self.rules.specs[task.name.rpartition("/")[0]]
                     self.images.add(spec["kit"])
                     task.state = "running"
-                    task.until = now + (0 if task.name in self.results else spec["true_s"] * self.rng.uniform(0.9, 1.1))
+                    each = spec.get("each_s")
+                    takes = spec["true_s"] if each is None else each[int(task.name.rpartition("/")[2])]
+                    task.until = now + (0 if task.name in self.results else takes * self.rng.uniform(0.9, 1.1))
                     self.rules.on(self.name, task.name, self.build["name"], self.zone, self.spot)
                     if self.sick:
                         self._exit(task, "error")
--- a/tests/world/world.py
+++ b/tests/world/world.py
@@ -154,7 +154,7 @@
 
 def sent(spec: dict[str, Any]) -> dict[str, Any]:
     """What a user sends of it: the rest is for the stand-in workers only."""
-    return {name: value for name, value in spec.items() if name not in ("true_s", "ends")}
+    return {name: value for name, value in spec.items() if name not in ("true_s", "each_s", "ends")}
 
 
 class World:
@@ -195,6 +195,10 @@
         # Share of the reports of which a copy comes later, to any node, and how much later.
         self.copies = 0.0
         self.copy_late = (1.0, 40.0)
+        # Copies that come to every node just as the next leader begins.
+        self.kept: list[Request] | None = None
+        # Share of reports and answers that are held up, for up to 6 s each.
+        self.slow = 0.0
         # Open connections of workers, and when the last answer went out on each.
         self.links: dict[str, tuple[str, timedelta]] = {}
         self.drift = {node: self.rng.uniform(-0.0005, 0.0005) for node in self.nodes}
@@ -358,8 +362,16 @@
             for _ in range(self.rng.randint(1, 2)):
                 late, other = self.rng.uniform(*self.copy_late), self.rng.choice(self.nodes)
                 self.loop.call_later(late, self._copy, other, replace(request, answered_at=None))
+        if self.kept is not None:
+            self.kept.append(replace(request, answered_at=None))
+        if self.slow and self.rng.random() < self.slow:
+            await asyncio.sleep(self.rng.uniform(0.5, 6.0))
+        if node not in self.controllers:
+            raise ConnectionError(node)
         response = await self.serve(node, request)
         answered_at = self.loop.clock(self.drift[node])
+        if self.slow and self.rng.random() < self.slow:
+            await asyncio.sleep(self.rng.uniform(0.5, 6.0))
         # The answer may be lost on its way, and the request may have been sent before.
         if self._hangs(worker, node) or worker in self.deaf or node in self.mute or self.rng.random() < 0.01:
             await asyncio.sleep(60)
@@ -382,7 +394,8 @@
     async def ask(self, method: str, path: str, body: Any = None, node: str | None = None) -> Response:
         up = [name for name in self.controllers if name not in self.cut_nodes]
         if not up:
-            return Response(503)
+            # No connection, so no answer at all.
+            return Response(504)
         name = node or self.rng.choice(up)
         try:
             async with asyncio.timeout(5):
@@ -394,8 +407,9 @@
         self.rules.submitted(spec)
         end = self.loop.now + patience
         while self.loop.now < end:
-            response = await self.ask("POST", "/submissions", spec)
-            self.rules.heard(spec["name_id"], response.status, (response.body or {}).get("status"))
+            asked = self.loop.now
+            response = await self.ask("POST", "/submissions", sent(spec))
+            self.rules.heard(spec["name_id"], response.status, (response.body or {}).get("status"), asked)
             if response.status in (200, 201):
                 return True
             if response.status in (400, 422):
@@ -404,18 +418,20 @@
         return False
 
     async def poll(self, job_id: str, node: str | None = None) -> str | None:
+        asked = self.loop.now
         response = await self.ask("GET", f"/submissions/{job_id}", node=node)
         state = (response.body or {}).get("status")
-        self.rules.heard(job_id, response.status, state)
+        self.rules.heard(job_id, response.status, state, asked)
         return state
 
     async def withdraw(self, job_id: str, patience: float = 60.0) -> str | None:
         self.rules.asked_to_cancel.add(job_id)
         end = self.loop.now + patience
         while self.loop.now < end:
+            asked = self.loop.now
             response = await self.ask("POST", f"/submissions/{job_id}/withdraw")
             state = (response.body or {}).get("status")
-            self.rules.heard(job_id, response.status, state)
+            self.rules.heard(job_id, response.status, state, asked)
             if response.status == 200:
                 return str(state)
             await asyncio.sleep(1)
