--- a/src/elmthread/agents/service.py
+++ b/src/elmthread/agents/service.py
@@ -20,7 +20,7 @@
 from elmthread.agents.reach import Reach, Stray, should_give_way
 from elmthread.common.clock import Clock, at_least, seconds
 from elmthread.common.http import BadBody, Request, Response, again, decode
-from elmthread.leadership.election import Tenure
+from elmthread.leadership.election import Term
 from elmthread.ledger.records import machine_key, machine_record
 from elmthread.ledger.writer import Rank, Writer
 from elmthread.placement.book import SEEN, Book, Hold, HoldState, Job, Machine, MachineState, Stop
@@ -41,7 +41,7 @@
     def __init__(
         self,
         book: Book,
-        tenure: Tenure,
+        term: Term,
         writer: Writer,
         work: WorkModel,
         clock: Clock,
@@ -52,7 +52,7 @@
         work_waits: Callable[[], bool],
     ) -> None:
         self._book = book
-        self._tenure = tenure
+        self._term = term
         self._writer = writer
         self._work = work
         self._clock = clock
@@ -76,10 +76,10 @@
             self.dropped += 1
             log.info("report dropped (%s so far): %s", self.dropped, error)
             return Response(400, {"error": "malformed report"})
-        if report.token > self._tenure.token:
-            self._tenure.hear(report.token)
-        if not self._tenure.answers_workers():
-            return Response(421, messages.elsewhere(self._tenure.leader))
+        if report.token > self._term.token:
+            self._term.hear(report.token)
+        if not self._term.answers_workers():
+            return Response(421, messages.elsewhere(self._term.leader))
         if report.machine in self._book.gone:
             # Its deletion was answered: a late report of a machine that is no more.
             return again(503, seconds(1), "machine is gone")
@@ -88,7 +88,7 @@
             self.dropped += 1
             return again(503, seconds(1), "an older report")
         now = self._clock()
-        if report.token < self._tenure.token:
+        if report.token < self._term.token:
             # The first answer carries our token; what the next report lists, no earlier
             # leader can change any more. Until then this may be a late copy of a report that
             # an earlier leader has had: it is no sign of life.
@@ -101,8 +101,8 @@
         exits, commands = self._take(machine, report, now)
         if machine.open and self._may_come(machine):
             await self._linger(machine)
-            if not self._tenure.answers_workers():
-                return Response(421, messages.elsewhere(self._tenure.leader))
+            if not self._term.answers_workers():
+                return Response(421, messages.elsewhere(self._term.leader))
         commands += [messages.reap(task.name, task.attempt) for task in exits if task.attempt not in machine.to_reap]
         commands += self._commands(machine)
         return self._answer(machine, commands[:MOST_ORDERS])
@@ -123,10 +123,10 @@
 
     def _answer(self, machine: Machine, commands: list[dict[str, Any]]) -> Response:
         machine.answered_at = self._clock()
-        body = messages.orders(self._tenure.token, commands)
+        body = messages.orders(self._term.token, commands)
         # Judged once more when the bytes leave: a start sent after the lease is one too many.
         starts = any(command["verb"] == messages.START for command in commands)
-        return Response(200, body, sure=self._tenure.leads if starts else self._tenure.answers_workers)
+        return Response(200, body, sure=self._term.leads if starts else self._term.answers_workers)
 
     def _adopt(self, report: Report) -> Machine:
         """A machine nobody told us of: rented by a late request or by an earlier leader."""
@@ -192,7 +192,7 @@
 
     def out_of_reach(self, reach: Reach) -> bool:
         """Most machines are silent here and reach another node."""
-        elsewhere = reach.elsewhere(self._tenure.token, self._is_news)
+        elsewhere = reach.elsewhere(self._term.token, self._is_news)
         if not elsewhere:
             return False
         now = self._clock()
@@ -328,7 +328,7 @@
     # What the worker is told
 
     def _commands(self, machine: Machine) -> list[dict[str, Any]]:
-        leads = self._tenure.leads()
+        leads = self._term.leads()
         commands: list[dict[str, Any]] = []
         starts: list[dict[str, Any]] = []
         now = self._clock()
--- a/src/elmthread/cli.py
+++ b/src/elmthread/cli.py
@@ -1,4 +1,4 @@
-"""The command line: serve, check, and a user's submit, status and withdraw."""
+"""The command line: serve, check, and a user's submit, status and cancel."""
 
 import argparse
 import asyncio
@@ -26,10 +26,12 @@
         sub.add_argument("--operators", type=Path, metavar="FILE", help="the operators' own settings (TOML)")
     submit = verbs.add_parser("submit", help="submit a job")
     submit.add_argument("job", type=Path, metavar="FILE", help="the job as JSON; - for standard input")
-    for verb, text in (("status", "tell a job's state"), ("withdraw", "cancel a job")):
-        sub = verbs.add_parser(verb, help=text)
+    status = verbs.add_parser("status", help="tell a job's state")
+    # The spelling of earlier versions goes on working.
+    cancel = verbs.add_parser("cancel", help="cancel a job", aliases=["withdraw"])
+    for sub in (status, cancel):
         sub.add_argument("job", metavar="ID")
-    for verb in ("submit", "status", "withdraw"):
+    for verb in ("submit", "status", "cancel"):
         verbs.choices[verb].add_argument(
             "--server",
             required=True,
--- a/src/elmthread/controller.py
+++ b/src/elmthread/controller.py
@@ -16,7 +16,7 @@
 from elmthread.intake.api import Api
 from elmthread.intake.jobs import Jobs
 from elmthread.intake.service import Intake
-from elmthread.leadership.election import Election, Tenure
+from elmthread.leadership.election import Election, Term
 from elmthread.ledger import records
 from elmthread.ledger.client import StateClient
 from elmthread.ledger.loading import Loader
@@ -93,7 +93,7 @@
         self._load = load
         self._platform = platform
         self._operators = operators
-        self.tenure = Tenure(election, token)
+        self.term = Term(election, token)
         self._state = state
         self._clock = clock
         self.token = token
@@ -112,27 +112,27 @@
             Bucket(rate, rate, clock),
             store.txn_ops,
             clock,
-            lambda: self.tenure.step_down("a transaction found another leader"),
+            lambda: self.term.step_down("a transaction found another leader"),
         )
         self.work = WorkModel()
         calls = Bucket(facts.cloud.rps * 0.9, max(1.0, facts.cloud.rps * 1.5), clock)
         unsure_until = clock() + election.unaccounted_for(facts.workers.lease)
         self.fleet = Fleet(
             self.book,
-            CloudClient(cloud, calls, self.tenure.leads),
+            CloudClient(cloud, calls, self.term.leads),
             self.writer,
             clock,
             facts.cloud.list_lag,
             facts.workers.lease,
             unsure_until,
-            self.tenure.leads,
+            self.term.leads,
             self._next_rental,
             self.changed,
             self._lacking,
         )
         self.intake = Intake(
             self.book,
-            self.tenure,
+            self.term,
             self.writer,
             clock,
             self._jobs.new,
@@ -145,7 +145,7 @@
         )
         self.agents = Agents(
             self.book,
-            self.tenure,
+            self.term,
             self.writer,
             self.work,
             clock,
@@ -228,14 +228,14 @@
             self._change.clear()
             await self._time_to_decide()
             began = self._clock()
-            if self.tenure.leads():
+            if self.term.leads():
                 self.placement.round()
             await asyncio.sleep(self._pause(ROUND, began))
 
     async def _watch_reach(self) -> None:
         while True:
             await asyncio.sleep(GATHER.total_seconds())
-            if not self.tenure.leads():
+            if not self.term.leads():
                 continue
             if self.agents.out_of_reach(self._reach):
                 self._give_way("most machines don't reach this node, and reach another")
@@ -245,8 +245,8 @@
 
     def _give_way(self, why: str) -> None:
         log.info("%s", why)
-        self.tenure.rest()
-        self.tenure.step_down("the workers are out of reach")
+        self.term.rest()
+        self.term.step_down("the workers are out of reach")
 
     async def _time_to_decide(self) -> None:
         """Decisions wait while there is not even time for answers, though not for ever."""
@@ -267,7 +267,7 @@
             self._shortfall.clear()
             await self._time_to_decide()
             began = self._clock()
-            if self.tenure.leads():
+            if self.term.leads():
                 self.sizing.round()
             await asyncio.sleep(self._pause(GATHER, began))
             try:
@@ -362,7 +362,7 @@
             # A fault in one leader's work: another, with a view built anew, may fare better.
             log.exception("the leader's work has failed")
             self.election.rest()
-            leader.tenure.step_down("a fault")
+            leader.term.step_down("a fault")
 
     def _lost(self) -> None:
         self._requests.rate = self._requests.burst = self._store_rps * OTHERS_PART
--- a/src/elmthread/intake/service.py
+++ b/src/elmthread/intake/service.py
@@ -10,7 +10,7 @@
 from elmthread.common.http import Response, again
 from elmthread.intake import messages
 from elmthread.intake.messages import Submission
-from elmthread.leadership.election import Tenure
+from elmthread.leadership.election import Term
 from elmthread.ledger.records import done_key, done_record, job_key, job_record
 from elmthread.ledger.writer import Rank, Stopped, Writer
 from elmthread.placement.book import Book, Job, JobState, Machine
@@ -32,7 +32,7 @@
     def __init__(
         self,
         book: Book,
-        tenure: Tenure,
+        term: Term,
         writer: Writer,
         clock: Clock,
         new_job: Callable[[Submission, timedelta], Job],
@@ -47,7 +47,7 @@
         self._cancel = cancel
         self._empty_by = empty_by
         self._book = book
-        self._tenure = tenure
+        self._term = term
         self._writer = writer
         self._clock = clock
         self._new_job = new_job
@@ -59,11 +59,11 @@
 
     @property
     def token(self) -> int:
-        return self._tenure.token
+        return self._term.token
 
     def sure(self) -> bool:
         """Asked right before an answer leaves."""
-        return self._tenure.leads()
+        return self._term.leads()
 
     async def submit(self, job_id: str, job: Submission | None, fault: str | None) -> Response:
         known = self._book.jobs.get(job_id)
@@ -87,7 +87,7 @@
             failed = await self._stored(known.id)
             if failed is not None:
                 return failed
-        if not self._tenure.leads():
+        if not self._term.leads():
             return again(503, SOON, "not leading")
         return self._tell(known, Response(201 if created else 200, self._describe(known)))
 
@@ -172,7 +172,7 @@
                 return failed
             if job.stored is not job.state:
                 return again(503, SOON, "not durable yet")
-        if not self._tenure.leads():
+        if not self._term.leads():
             return again(503, SOON, "not leading")
         assert job.stored is not None
         return self._tell(job, Response(200, messages.status(job.id, job.stored.value)))
--- a/src/elmthread/leadership/election.py
+++ b/src/elmthread/leadership/election.py
@@ -217,12 +217,12 @@
             log.debug("the old lease could not be given back")
 
 
-class Tenure:
+class Term:
     """One leadership, by its token.
 
     A node can lose its leadership and win it again while one of its answers is still being
     made. What was begun under the old token must not be finished under the new one: its view
-    is the old one. So the leader's parts ask their tenure, never the election.
+    is the old one. So the leader's parts ask their term, never the election.
     """
 
     def __init__(self, election: Election, token: int) -> None:
--- a/src/elmthread/leadership/tests/test_election.py
+++ b/src/elmthread/leadership/tests/test_election.py
@@ -10,7 +10,7 @@
 
 from elmthread.common.clock import seconds
 from elmthread.common.http import Answer, NoAnswer
-from elmthread.leadership.election import Election, Role, Tenure
+from elmthread.leadership.election import Election, Role, Term
 from elmthread.ledger.client import StateClient
 from elmthread.ledger.pacing import Bucket
 from tests.world.loop import SimLoop, play
@@ -81,9 +81,9 @@
     # Whatever happens, it acts as leader in LEADING alone and answers workers in no other but HOLDING.
     assert election.leads() == (after[role] is L)
     assert election.answers_workers() == (after[role] is not F)
-    assert Tenure(election, TOKEN).leads() == (after[role] is L)
+    assert Term(election, TOKEN).leads() == (after[role] is L)
     # An earlier leadership of the same node never speaks for this one.
-    assert not Tenure(election, TOKEN - 1).leads() and not Tenure(election, TOKEN - 1).answers_workers()
+    assert not Term(election, TOKEN - 1).leads() and not Term(election, TOKEN - 1).answers_workers()
     loop.close()
 
 
