--- a/tests/world/meetings.py
+++ b/tests/world/meetings.py
@@ -358,9 +358,19 @@
 
 @trouble
 async def cancel_and_hang(stage: Stage) -> None:
-    """Cancelled, and their machines hang at that moment or can't be reached."""
+    """Cancelled, and machines of the team at its limit hang at that moment or can't be reached."""
+    world = stage.world
+    specs = world.rules.specs
+    theirs = {name for name, task in world.rules.where if specs[task.rpartition("/")[0]]["crew"] == "red"}
     await cancel_now(stage)
-    await stage.world.rng.choice([machines_hang, machines_mute])(stage)
+    await asyncio.sleep(0.25)
+    if world.rng.random() < 0.5:
+        cut = {(name, node) for name in theirs for node in world.nodes}
+        _gone(stage, world.cut_workers, cut, world.rng.uniform(8, 30))
+        return
+    for name in theirs & world.workers.keys():
+        world.workers[name].hung = True
+        world.loop.call_later(world.rng.choice([10.0, 20.0]), setattr, world.workers[name], "hung", False)
 
 
 @trouble
