--- a/src/elmthread/fleet/service.py
+++ b/src/elmthread/fleet/service.py
@@ -370,8 +370,20 @@
         """Each machine's silence, notice and health, against what it may still hold."""
         now = self._clock()
         self._find_cut(now)
+        quiet_after = self._lease * QUIET
         for machine in list(self._book.machines.values()):
             machine.cut = machine.zone in self._cut
+            if (
+                machine.state is MachineState.UP
+                and machine.reported_at is not None
+                and now - machine.reported_at <= quiet_after
+                and machine.recall_at is None
+                and machine.deaf_since is None
+                and not machine.suspect
+            ):
+                # Heard of late, and nothing is wrong with it: most machines, most of the time.
+                machine.quiet = False
+                continue
             if machine.state is MachineState.DELETING:
                 self._expire(machine, now)
                 continue
@@ -382,7 +394,7 @@
                 if now - machine.known_since > bound + kept:
                     self.give_up(machine, "has not come up")
                 continue
-            machine.quiet = self._silence(machine, now) > self._lease * QUIET
+            machine.quiet = self._silence(machine, now) > quiet_after
             self._expire(machine, now)
             if machine.recall_at is not None and now >= machine.recall_at - TAKEN:
                 self.give_up(machine, "taken back")
--- a/src/elmthread/sizing/service.py
+++ b/src/elmthread/sizing/service.py
@@ -62,11 +62,22 @@
         self.theta = operators.theta
         self._services = Trend()
         self._services_run = False
+        # Within one round: machines that serve, by kind; what a task takes, by job; what is held, by
+        # machine. Groups share machines.
+        self._serving: dict[tuple[str, str, bool], list[Machine]] = {}
+        self._whole: dict[str, float] = {}
+        self._held: dict[str, tuple[float, float]] = {}
 
     def round(self) -> None:
         if not self._fleet.types:
             return
         now = self._clock()
+        self._whole.clear()
+        self._held.clear()
+        self._serving.clear()
+        for machine in self._book.machines.values():
+            if machine.serves(now):
+                self._serving.setdefault((machine.build, machine.zone, machine.spot), []).append(machine)
         wants = self._placement.wants(now)
         rooms = self._placement.rooms()
         self._for_services(wants, now)
@@ -172,7 +183,7 @@
         alike: dict[tuple[Any, ...], list[Want]] = {}
         first: list[tuple[set[str], list[Want]]] = []
         for group in kinds.values():
-            places = self._places(group[0], now)
+            places = self._places(group[0])
             # Urgent work is the band's, unless nothing there is could take it at all; but it
             # goes ahead of what is judged here.
             # Replicas have room made for them apart, and no deadline to be judged by.
@@ -190,24 +201,17 @@
             urgent = [want for others, wants in first if not here.isdisjoint(others) for want in wants]
             self._rent_for(together, urgent, here, rooms, now)
 
-    def _places(self, want: Want, now: timedelta) -> tuple[str, ...]:
+    def _places(self, want: Want) -> tuple[str, ...]:
         """The machines, up or coming, that could take the tasks at all."""
-        fit: dict[tuple[str, str, bool], bool] = {}
-        places = []
-        for machine in self._book.machines.values():
-            if not machine.serves(now):
-                continue
-            kind = (machine.build, machine.zone, machine.spot)
-            if kind not in fit:
-                fit[kind] = (
-                    allowed(want, *kind)
-                    and want.cpus <= machine.cpus
-                    and want.cards <= machine.cards
-                    and want.ram <= machine.ram
-                )
-            if fit[kind]:
-                places.append(machine.name)
-        return tuple(places)
+        return tuple(
+            machine.name
+            for kind, machines in self._serving.items()
+            if allowed(want, *kind)
+            and want.cpus <= machines[0].cpus
+            and want.cards <= machines[0].cards
+            and want.ram <= machines[0].ram
+            for machine in machines
+        )
 
     def _rent_for(
         self, waiting: list[Want], urgent: list[Want], places: set[str], rooms: dict[str, Room], now: timedelta
@@ -227,7 +231,7 @@
         for want in urgent:
             job = self._book.jobs[want.job]
             if not job.daemon:
-                ahead += want.count * want.cpus * self._expected(job).total_seconds()
+                ahead += want.count * want.cpus * self._each(job)
         usable += _usable(urgent, rooms) + busy - sum(supply.cores for supply in supplies)
         chosen = fewest(groups, supplies, ahead, offers, usable, MOST_AT_ONCE)
         if chosen:
@@ -255,7 +259,7 @@
         team_cores: dict[str, float] = {}
         for want in waiting:
             job = self._book.jobs[want.job]
-            each = self._expected(job).total_seconds()
+            each = self._each(job)
             room = max(0.0, rooms[want.team].cpus - team_cores.get(want.team, 0.0))
             cores = min(room, want.count * want.cpus)
             team_cores[want.team] = team_cores.get(want.team, 0.0) + cores
@@ -300,19 +304,35 @@
         """Cores that tasks hold, and the core-seconds that they still take."""
         cores = work = 0.0
         for name in places:
-            for hold in self._book.machines[name].holds.values():
-                if hold.job.daemon:
-                    continue
-                cores += hold.job.spec.cpus
-                work += hold.job.spec.cpus * self._left(hold, now)
+            known = self._held.get(name)
+            if known is None:
+                known = self._held[name] = self._running_on(self._book.machines[name], now)
+            cores += known[0]
+            work += known[1]
+        return cores, work
+
+    def _running_on(self, machine: Machine, now: timedelta) -> tuple[float, float]:
+        cores = work = 0.0
+        for hold in machine.holds.values():
+            if not hold.job.daemon:
+                cpus = hold.job.spec.cpus
+                cores += cpus
+                work += cpus * self._left(hold, now)
         return cores, work
 
     def _left(self, hold: Hold, now: timedelta) -> float:
-        whole = self._expected(hold.job).total_seconds()
+        whole = self._each(hold.job)
         if hold.started_at is None:
             return whole
         return max(whole - (now - hold.started_at).total_seconds(), whole * 0.2)
 
+    def _each(self, job: Job) -> float:
+        """What a task of the job takes, judged once a round."""
+        each = self._whole.get(job.id)
+        if each is None:
+            each = self._whole[job.id] = self._expected(job).total_seconds()
+        return each
+
     def _offers(self, waiting: list[Want]) -> list[Offer]:
         offers = []
         for kind in self._fleet.types.values():
--- /dev/null
+++ b/src/elmthread/sizing/tests/test_round.py
@@ -0,0 +1,116 @@
+"""What a round of sizing and of judging machines looks at: once a job and a machine, and what plain sums say."""
+
+import asyncio
+from collections.abc import Callable
+from datetime import timedelta
+from typing import Any
+
+import pytest
+
+from elmthread.fleet.service import Fleet
+from elmthread.placement.book import Job, Machine, MachineState
+from elmthread.placement.decide import allowed
+from elmthread.sizing.service import Sizing
+from tests.test_world import day
+from tests.world.world import World, job
+
+
+async def filled(world: World) -> Any:
+    """Work of many kinds, running and waiting, on machines of all kinds."""
+    for number in range(12):
+        changes: dict[str, Any] = {"pieces": 20, "true_s": 40.0, "expected_s": 40.0}
+        changes |= {"builds": ["large"]} if number % 4 == 1 else {}
+        changes |= {"yard": "north"} if number % 4 == 2 else {}
+        changes |= {"loaners": False} if number % 4 == 3 else {}
+        changes |= {"urgency": "high"} if number % 5 == 0 else {}
+        assert await world.submit(job(number, **changes))
+    await asyncio.sleep(20)
+    assert world.leader is not None and world.leader.leader is not None
+    return world.leader.leader
+
+
+def test_a_round_asks_once_a_job_and_sums_up_as_the_plain_way_does(monkeypatch: pytest.MonkeyPatch) -> None:
+    """On small controllers sums over every task held, made anew for each group, were an eighth of all time."""
+
+    async def script(world: World) -> None:
+        leader = await filled(world)
+        sizing, book, now = leader.sizing, leader.book, leader._clock()
+        asked: list[str] = []
+        expected: Callable[[Job], timedelta] = sizing._expected
+
+        def counted(one: Job) -> timedelta:
+            asked.append(one.id)
+            return expected(one)
+
+        monkeypatch.setattr(sizing, "_expected", counted)
+        checked = 0
+        places_of, running = Sizing._places, Sizing._running
+
+        def places(self: Sizing, want: Any) -> tuple[str, ...]:
+            nonlocal checked
+            found = places_of(self, want)
+            plain = {
+                machine.name
+                for machine in book.machines.values()
+                if machine.serves(now)
+                and allowed(want, machine.build, machine.zone, machine.spot)
+                and want.cpus <= machine.cpus
+                and want.cards <= machine.cards
+                and want.ram <= machine.ram
+            }
+            assert set(found) == plain and len(found) == len(plain)
+            checked += 1
+            return found
+
+        def summed(self: Sizing, names: set[str], at: Any) -> tuple[float, float]:
+            nonlocal checked
+            cores, work = running(self, names, at)
+            held = [hold for name in names for hold in book.machines[name].holds.values() if not hold.job.daemon]
+            assert cores == pytest.approx(sum(hold.job.spec.cpus for hold in held))
+            plain = 0.0
+            for hold in held:
+                whole = expected(hold.job).total_seconds()
+                ran = 0.0 if hold.started_at is None else (at - hold.started_at).total_seconds()
+                plain += hold.job.spec.cpus * (whole if hold.started_at is None else max(whole - ran, whole * 0.2))
+            assert work == pytest.approx(plain)
+            checked += 1
+            return cores, work
+
+        monkeypatch.setattr(Sizing, "_places", places)
+        monkeypatch.setattr(Sizing, "_running", summed)
+        sizing.round()
+        assert checked > 4 and sum(len(machine.holds) for machine in book.machines.values()) > 60
+        assert len(asked) == len(set(asked)) <= len(book.open_jobs)
+
+    day(script, machines=6)
+
+
+def test_only_machines_that_may_be_wrong_are_judged_one_by_one(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def script(world: World) -> None:
+        leader = await filled(world)
+        await asyncio.sleep(10)
+        judged: list[Machine] = []
+        expire = Fleet._expire
+
+        def noted(self: Fleet, machine: Machine, now: Any) -> None:
+            judged.append(machine)
+            expire(self, machine, now)
+
+        monkeypatch.setattr(Fleet, "_expire", noted)
+        up = [machine for machine in leader.book.machines.values() if machine.state is MachineState.UP]
+        assert len(up) >= 6
+        leader.fleet._judge()
+        assert len(judged) <= 1
+        # Silence, a notice or a doubt, and it is looked at.
+        silent, noticed, suspect = up[:3]
+        for node in world.nodes:
+            world.cut_workers.add((silent.name, node))
+        noticed.recall_at = leader._clock() * 2
+        suspect.suspect = True
+        await asyncio.sleep(6)
+        judged.clear()
+        leader.fleet._judge()
+        assert {silent.name, noticed.name, suspect.name} <= {machine.name for machine in judged}
+        assert silent.quiet and not noticed.quiet
+
+    day(script, machines=8, each=0)
