Whether a connection closes is not noted in answers that are given to many

The server wrote a client's wish to close into the response itself. Some responses are kept and given to many (TOO_MUCH, when users are refused in overload): after one client with Connection: close every such answer closed its connection.

--- a/src/elmthread/common/http.py
+++ b/src/elmthread/common/http.py
@@ -4,7 +4,7 @@
 import logging
 from collections import deque
 from collections.abc import Awaitable, Callable, Mapping
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field
 from datetime import timedelta
 from functools import lru_cache
 from typing import Any, Protocol
@@ -187,17 +187,18 @@
                     me.until = min(me.until, self.clock() + REQUEST_TIME)
                     incoming.feed(data)
             except Malformed as error:
-                writer.write(_encode(Response(400, {"error": str(error)}, close=True)))
+                writer.write(_encode(Response(400, {"error": str(error)}), close=True))
                 await writer.drain()
                 return
             one = incoming.whole.popleft()
             me.until = self.clock() + IDLE_TIME
             response = await self._respond(me, one)
-            response.close = response.close or not one.keep_alive
+            # Not noted in the response itself: some are kept and given to many.
+            close = response.close or not one.keep_alive
             me.answered_at = self.clock()
-            writer.write(_encode(response))
+            writer.write(_encode(response, close))
             await writer.drain()
-            if response.close:
+            if close:
                 return
             me.idle = True
             me.heard = self.clock()
@@ -313,14 +314,14 @@
     return head
 
 
-def _encode(response: Response) -> bytes:
+def _encode(response: Response, close: bool) -> bytes:
     payload = b"" if response.body is None else cbor2.dumps(response.body)
     if response.sure is not None and not response.sure():
-        response = replace(UNSURE, close=response.close)
+        response = UNSURE
         payload = cbor2.dumps(response.body)
     after = response.retry_after
     retry = None if after is None else max(1, round(after.total_seconds()))
-    return _head(response.status, len(payload), retry, response.close) + payload
+    return _head(response.status, len(payload), retry, close) + payload
 
 
 class NoAnswer(Exception):
--- a/src/elmthread/common/tests/test_http.py
+++ b/src/elmthread/common/tests/test_http.py
@@ -94,6 +94,23 @@
     run(main())
 
 
+def test_an_answer_that_is_kept_for_many_closes_no_connection_but_that_of_who_asked() -> None:
+    kept = http.again(429, seconds(2), "too much to do")
+
+    async def handle(request: Request) -> Response:
+        return kept
+
+    async def main() -> None:
+        server, port = await serving(handle)
+        assert b"connection: close" in await raw(port, b"GET /a HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
+        client = Client(f"127.0.0.1:{port}")
+        assert (await client.call("GET", "/a", timeout=seconds(5))).status == 429
+        assert len(client._idle) == 1 and not kept.close
+        await server.close()
+
+    run(main())
+
+
 def test_what_is_no_request_costs_no_memory() -> None:
     async def main() -> None:
         server, port = await serving(echo)
