--- a/tests/world/meetings.py
+++ b/tests/world/meetings.py
@@ -1,14 +1,14 @@
 """Troubles to be mixed at will, each for a while and then over; what users do meanwhile."""
 
 import asyncio
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable, Coroutine, Iterable
 from functools import partial
 from typing import Any
 
 import cbor2
 
 from elmthread.common.http import Request
-from tests.world.world import ZONES, World, job, sent
+from tests.world.world import ZONES, World, job
 
 Trouble = Callable[["Stage"], Coroutine[Any, Any, None]]
 TROUBLES: dict[str, Trouble] = {}
@@ -75,15 +75,9 @@
         world = self.world
         for _ in range(3):
             asks = [world.poll(job_id, node) for node in world.nodes if node in world.controllers]
-            await asyncio.gather(*asks, self.repeat(job_id))
+            await asyncio.gather(*asks, world.offer(world.rules.specs[job_id]))
             await asyncio.sleep(world.rng.uniform(0.001, 0.05))
 
-    async def repeat(self, job_id: str) -> None:
-        world = self.world
-        asked = world.loop.now
-        answer = await world.ask("POST", "/submissions", sent(world.rules.specs[job_id]))
-        world.rules.heard(job_id, answer.status, (answer.body or {}).get("status"), asked)
-
     async def cancel(self, job_id: str, patience: float = 60.0) -> None:
         if await self.world.withdraw(job_id, patience) is not None:
             await self.look(job_id)
@@ -247,11 +241,22 @@
 # Machines
 
 
+def _mute(stage: Stage, names: Iterable[str], for_s: float) -> None:
+    cut = {(name, node) for name in names for node in stage.world.nodes}
+    _gone(stage, stage.world.cut_workers, cut, for_s)
+
+
+def _hang(stage: Stage, names: Iterable[str], times: list[float]) -> None:
+    for name in names:
+        worker = stage.world.workers[name]
+        worker.hung = True
+        stage.world.loop.call_later(stage.world.rng.choice(times), setattr, worker, "hung", False)
+
+
 @trouble
 async def machines_mute(stage: Stage) -> None:
     """They reach no controller."""
-    cut = {(name, node) for name in stage.some(0.4) for node in stage.world.nodes}
-    _gone(stage, stage.world.cut_workers, cut, stage.world.rng.uniform(5, 30))
+    _mute(stage, stage.some(0.4), stage.world.rng.uniform(5, 30))
 
 
 @trouble
@@ -262,10 +267,7 @@
 @trouble
 async def machines_hang(stage: Stage) -> None:
     """They go on within their lease, or after it."""
-    for name in stage.some(0.4):
-        worker = stage.world.workers[name]
-        worker.hung = True
-        stage.world.loop.call_later(stage.world.rng.choice([3.0, 10.0, 20.0, 35.0]), setattr, worker, "hung", False)
+    _hang(stage, stage.some(0.4), [3.0, 10.0, 20.0, 35.0])
 
 
 @trouble
@@ -365,12 +367,9 @@
     await cancel_now(stage)
     await asyncio.sleep(0.25)
     if world.rng.random() < 0.5:
-        cut = {(name, node) for name in theirs for node in world.nodes}
-        _gone(stage, world.cut_workers, cut, world.rng.uniform(8, 30))
-        return
-    for name in theirs & world.workers.keys():
-        world.workers[name].hung = True
-        world.loop.call_later(world.rng.choice([10.0, 20.0]), setattr, world.workers[name], "hung", False)
+        _mute(stage, theirs, world.rng.uniform(8, 30))
+    else:
+        _hang(stage, theirs & world.workers.keys(), [10.0, 20.0])
 
 
 @trouble
@@ -445,16 +444,14 @@
             del spec[world.rng.choice(["crew", "pieces", "cpus", "kit", "urgency", "expected_s"])]
         world.rules.specs[spec["name_id"]] = spec
         world.rules.impossible.add(spec["name_id"])
-        asked = world.loop.now
-        answer = await world.ask("POST", "/submissions", sent(spec))
-        world.rules.heard(spec["name_id"], answer.status, (answer.body or {}).get("status"), asked)
+        answer = await world.offer(spec)
         assert answer.status in (400, 422, 429, 503, 504), answer
         assert answer.retry_after is not None or answer.status not in (429, 503), answer
         ended = [one for one, told in world.rules.told.items() if told == "done"]
         if ended:
             stage.begin(stage.cancel(world.rng.choice(ended)))
         if stage.unfinished():
-            stage.begin(stage.repeat(world.rng.choice(stage.unfinished())))
+            stage.begin(world.offer(world.rules.specs[world.rng.choice(stage.unfinished())]))
         assert (await world.ask("GET", "/submissions/run-999999")).status in (404, 429, 503, 504)
         await asyncio.sleep(1)
 
--- a/tests/world/world.py
+++ b/tests/world/world.py
@@ -405,13 +405,26 @@
         except (TimeoutError, KeyError):
             return Response(504)
 
+    async def about(
+        self, job_id: str, method: str, path: str, body: Any = None, node: str | None = None
+    ) -> tuple[Response, str | None]:
+        """A user's question about a job, judged with the moment at which it was asked."""
+        asked = self.loop.now
+        response = await self.ask(method, path, body, node)
+        state = (response.body or {}).get("status")
+        self.rules.heard(job_id, response.status, state, asked)
+        return response, state
+
+    async def offer(self, spec: dict[str, Any]) -> Response:
+        """A submission, or its repetition."""
+        response, _ = await self.about(spec["name_id"], "POST", "/submissions", sent(spec))
+        return response
+
     async def submit(self, spec: dict[str, Any], patience: float = 60.0) -> bool:
         self.rules.submitted(spec)
         end = self.loop.now + patience
         while self.loop.now < end:
-            asked = self.loop.now
-            response = await self.ask("POST", "/submissions", sent(spec))
-            self.rules.heard(spec["name_id"], response.status, (response.body or {}).get("status"), asked)
+            response = await self.offer(spec)
             if response.status in (200, 201):
                 return True
             if response.status in (400, 422):
@@ -420,20 +433,14 @@
         return False
 
     async def poll(self, job_id: str, node: str | None = None) -> str | None:
-        asked = self.loop.now
-        response = await self.ask("GET", f"/submissions/{job_id}", node=node)
-        state = (response.body or {}).get("status")
-        self.rules.heard(job_id, response.status, state, asked)
+        _, state = await self.about(job_id, "GET", f"/submissions/{job_id}", node=node)
         return state
 
     async def withdraw(self, job_id: str, patience: float = 60.0) -> str | None:
         self.rules.asked_to_cancel.add(job_id)
         end = self.loop.now + patience
         while self.loop.now < end:
-            asked = self.loop.now
-            response = await self.ask("POST", f"/submissions/{job_id}/withdraw")
-            state = (response.body or {}).get("status")
-            self.rules.heard(job_id, response.status, state, asked)
+            response, state = await self.about(job_id, "POST", f"/submissions/{job_id}/withdraw")
             if response.status == 200:
                 return str(state)
             await asyncio.sleep(1)
