--- a/run.py
+++ b/run.py
@@ -1,10 +1,16 @@
-"""Starts a controller from a checkout, with the libraries built under target/deps."""
+"""Starts a controller from a checkout, with the libraries that `deploy/build` puts under target/app.
 
+`deploy/build` also puts a copy of this file there, beside the service's own modules and their bytecode.
+"""
+
+import gc
 import sys
 from pathlib import Path
 
+# Nothing that is loaded at the start is garbage; `serve` turns collections on when all is there.
+gc.disable()
 ROOT = Path(__file__).resolve().parent
-sys.path[:0] = [str(ROOT / "src"), str(ROOT / "target" / "deps")]
+sys.path[:0] = [str(ROOT / "src"), str(ROOT / "target" / "app")]
 
 from elmthread.cli import main  # noqa: E402  (the paths above come first)
 
--- a/src/elmthread/cli.py
+++ b/src/elmthread/cli.py
@@ -70,6 +70,7 @@
         # through all of it, which holds up every answer, is seldom worth its time.
         gc.freeze()
         gc.set_threshold(*COLLECT)
+        gc.enable()
 
         try:
             asyncio.run(Controller(facts, own).run())
--- /dev/null
+++ b/tools/profile_controller.py
@@ -0,0 +1,348 @@
+"""Measures where one controller's processor time and memory go, phase by phase.
+
+    PYTHONPATH=src python -m tools.profile_controller [--machines 600] [--jobs 100] [--profile]
+
+A controller runs as a real process; the state service, the cloud, the workers and the users
+are the stand-ins of `tests/world`, on loopback. Without `--profile` it prints the processor
+time of each phase and the requests that fell into it; with it, the share of each duty as
+well, which is inflated where many small functions are called. docs/operations.md tells more.
+"""
+
+import argparse
+import asyncio
+import os
+import pstats
+import random
+import signal
+import subprocess
+import sys
+import tempfile
+import time
+from collections import Counter
+from dataclasses import dataclass
+from datetime import timedelta
+from pathlib import Path
+from typing import Any
+from urllib.parse import urlencode
+
+import cbor2
+
+from elmthread.common.http import Client, NoAnswer, Request, Response, Server, decode
+from tests.world.rules import Rules
+from tests.world.services import CloudStand, Rented, Service, StateStore
+from tests.world.workers import Worker
+from tests.world.world import SETTINGS, TYPES, job
+
+ROOT = Path(__file__).resolve().parent.parent
+HOST = "127.0.0.1"
+NODE = "loom-0"
+REPORT_S, LEASE_S, CANCEL_S = 3.0, 12.0, 30.0
+TICKS = os.sysconf("SC_CLK_TCK")
+CALL_TIME = timedelta(seconds=4)
+READY_TIME = 60.0
+# Tasks of each job, and how long one runs.
+TASKS, TASK_S = 40, 20.0
+OUTAGE_S = 8.0
+
+DUTIES = (
+    ("common/http.py", "requests and answers"),
+    ("httptools", "requests and answers"),
+    ("h11", "calls of our own"),
+    ("cbor2", "CBOR"),
+    ("agents/", "reports and commands"),
+    ("msgspec", "decoding of messages"),
+    ("placement/", "placement and cluster state"),
+    ("sizing/", "sizing"),
+    ("fleet/", "machines and cloud"),
+    ("ledger/", "records"),
+    ("intake/", "users"),
+    ("leadership/", "lease"),
+    ("peers/", "other controllers"),
+    ("elmthread/common", "clock, load, states"),
+    ("asyncio", "event loop"),
+    ("selectors", "event loop"),
+    ("importlib", "imports"),
+)
+
+
+class RealLoop(asyncio.SelectorEventLoop):
+    """A loop in real time with the one name that the stand-ins ask a simulated loop for."""
+
+    @property
+    def now(self) -> float:
+        """Seconds on the loop's clock."""
+        return self.time()
+
+
+@dataclass
+class Phase:
+    """What one phase took, and what was asked of the controller in it."""
+
+    name: str
+    wall_s: float
+    cpu_s: float
+    memory_mb: float
+    requests: Counter[str]
+
+
+class ControllerProcess:
+    """The controller under measurement: a process of its own."""
+
+    def __init__(self, settings: Path, output: Path | None) -> None:
+        """With `output`, profiles are written there."""
+        command = [sys.executable, "-m", "tools.profiled_controller", str(output), str(settings)]
+        if output is None:
+            command = [sys.executable, "-S", str(ROOT / "target/app/run.py"), "--config", str(settings)]
+        environment = os.environ | {"PYTHONPATH": f"{ROOT / 'src'}:{ROOT}"}
+        self._process = subprocess.Popen(command, env=environment, cwd=ROOT)
+        self._output = output
+        self._phases = 0
+
+    def cpu_s(self) -> float:
+        """Processor seconds so far."""
+        fields = Path(f"/proc/{self._process.pid}/stat").read_text().rpartition(")")[2].split()
+        return (int(fields[11]) + int(fields[12])) / TICKS
+
+    def memory_mb(self) -> float:
+        """The most memory held so far."""
+        status = Path(f"/proc/{self._process.pid}/status").read_text()
+        line = next(line for line in status.splitlines() if line.startswith("VmHWM"))
+        return int(line.split()[1]) / 1024
+
+    async def end_phase(self) -> Path | None:
+        """The profile of the phase that ends here, where one is made."""
+        if self._output is None:
+            return None
+        written = self._output / f"{self._phases}.prof"
+        self._phases += 1
+        self._process.send_signal(signal.SIGUSR1)
+        while not written.exists():
+            await asyncio.sleep(0.05)
+        return written
+
+    def kill(self) -> None:
+        """Ends it without notice."""
+        self._process.kill()
+        self._process.wait()
+
+
+class Cluster:
+    """The stand-ins around the controller, and the phases they take it through."""
+
+    def __init__(self, loop: RealLoop, machines: int, jobs: int, output: Path | None) -> None:
+        """`output` is where profiles go, None for figures without them."""
+        self._loop: Any = loop
+        self._machines, self._jobs, self._output = machines, jobs, output
+        self._rng = random.Random(1)
+        self._rules = Rules(self._loop, {"red": 12.0, "blue": float("inf")}, CANCEL_S)
+        self._store = StateStore(self._loop, self._rng, 8, 8 * 1024)
+        capacity = {
+            (kind["name"], zone, spot): machines for kind in TYPES for zone in kind["yards"] for spot in (True, False)
+        }
+        self._cloud = CloudStand(self._loop, self._rng, TYPES, 3.0, capacity)
+        self._cloud.born = self._machine_up
+        self._cloud.ended = self._machine_gone
+        self._workers: dict[str, Worker] = {}
+        self._clients: dict[str, Client] = {}
+        self._counts: Counter[str] = Counter()
+        self._address = f"{HOST}:18080"
+        self._user = Client(self._address, most_idle=16)
+        self._next_job = 1
+        self.phases: list[tuple[Phase, Path | None]] = []
+
+    async def run(self) -> None:
+        """All phases, one after the other."""
+        with tempfile.TemporaryDirectory() as folder:
+            settings = await self._serve(Path(folder))
+            controller = self._start(settings, "first")
+            await self._phase(controller, "start", self._until_ready())
+            await self._phase(controller, "opening rush, all workers come at once", self._opening())
+            await self._phase(controller, "steady", self._submit(self._jobs, TASK_S))
+            await self._phase(controller, "outage of the state service", self._outage())
+            await self._phase(controller, "end of the outage", asyncio.sleep(5))
+            controller.kill()
+            controller = self._start(settings, "second")
+            await self._phase(controller, "start and load", self._until_ready())
+            await self._phase(controller, "after the load", asyncio.sleep(10))
+            controller.kill()
+
+    def _start(self, settings: Path, name: str) -> ControllerProcess:
+        if self._output is None:
+            return ControllerProcess(settings, None)
+        output = self._output / name
+        output.mkdir(parents=True)
+        return ControllerProcess(settings, output)
+
+    async def _serve(self, folder: Path) -> Path:
+        store, cloud = await self._serve_one(self._store), await self._serve_one(self._cloud)
+        text = SETTINGS.format(node=NODE, others="", next="", cancel=CANCEL_S)
+        text = text.replace("10.2.0.2:8443", f"{HOST}:{cloud}").replace("10.2.0.1:2379", f"{HOST}:{store}")
+        text = text.replace("10.0.0.1:8080", self._address).replace("10.0.0.1:8081", f"{HOST}:18081")
+        text = text.replace("max_connections = 500", f"max_connections = {self._machines * 3}")
+        settings = folder / "settings.toml"
+        settings.write_text(text)
+        return settings
+
+    async def _serve_one(self, service: Service) -> int:
+        async def handle(request: Request) -> Response:
+            path = f"{request.path}?{urlencode(request.query)}" if request.query else request.path
+            self._counts[f"{request.method} {request.path.split('/')[1]}"] += 1
+            if service.down:
+                return Response(503, {"error": "trouble"})
+            answer = await service.serve(request.method, path, decode(request.body) if request.body else None)
+            return Response(answer.status, answer.body)
+
+        return await Server(handle, 100).start(HOST, 0)
+
+    async def _phase(self, controller: ControllerProcess, name: str, work: Any) -> None:
+        self._counts.clear()
+        began, cpu = time.monotonic(), controller.cpu_s()
+        await work
+        took, used = time.monotonic() - began, controller.cpu_s() - cpu
+        phase = Phase(name, took, used, controller.memory_mb(), Counter(self._counts))
+        self.phases.append((phase, await controller.end_phase()))
+
+    # What happens in the phases
+
+    async def _until_ready(self) -> None:
+        end = time.monotonic() + READY_TIME
+        while time.monotonic() < end:
+            try:
+                if (await self._user.call("GET", "/ready", timeout=CALL_TIME)).status == 200:
+                    return
+            except NoAnswer:
+                pass
+            await asyncio.sleep(0.02)
+        raise TimeoutError("the controller does not get ready")
+
+    async def _opening(self) -> None:
+        """Half of the jobs wait when all machines come up; the others come while they start."""
+        await self._submit(self._jobs // 2, 5.0)
+        for _ in range(self._machines):
+            kind = self._rng.choice(TYPES)
+            self._cloud.add(kind["name"], self._rng.choice(kind["yards"]), True, 0.5)
+        await self._submit(self._jobs // 2, 5.0)
+
+    async def _submit(self, jobs: int, over_s: float) -> None:
+        for _ in range(jobs):
+            spec = job(self._next_job, pieces=TASKS, expected_s=TASK_S, true_s=TASK_S)
+            self._next_job += 1
+            self._rules.submitted(spec)
+            asyncio.get_running_loop().create_task(self._follow(spec))
+            await asyncio.sleep(over_s / jobs)
+
+    async def _follow(self, spec: dict[str, Any]) -> None:
+        body = {name: value for name, value in spec.items() if name != "true_s"}
+        await self._ask("POST", "/submissions", body)
+        for _ in range(100):
+            await asyncio.sleep(5)
+            await self._ask("GET", f"/submissions/{spec['name_id']}", None)
+
+    async def _ask(self, method: str, path: str, body: Any) -> None:
+        self._counts["users' requests"] += 1
+        try:
+            await self._user.call(method, path, body, timeout=CALL_TIME)
+        except NoAnswer:
+            self._counts["users without an answer"] += 1
+
+    async def _outage(self) -> None:
+        self._store.outage(True)
+        await asyncio.sleep(OUTAGE_S)
+        self._store.outage(False)
+
+    # Workers
+
+    def _machine_up(self, machine: Rented) -> None:
+        kind = next(kind for kind in TYPES if kind["name"] == machine.build)
+        self._workers[machine.name] = Worker(
+            self._loop,
+            self._rng,
+            self._rules,
+            self._report,
+            [NODE],
+            machine.name,
+            kind,
+            machine.zone,
+            machine.spot,
+            REPORT_S,
+            LEASE_S,
+        )
+
+    def _machine_gone(self, name: str) -> None:
+        worker = self._workers.pop(name, None)
+        self._clients.pop(name, None)
+        if worker is not None:
+            worker.gone()
+
+    async def _report(self, name: str, node: str, request: Request) -> Response:
+        client = self._clients.setdefault(name, Client(self._address))
+        self._counts["reports"] += 1
+        try:
+            answer = await client.call(request.method, request.path, cbor2.loads(request.body), timeout=CALL_TIME)
+        except NoAnswer as error:
+            self._counts["reports without an answer"] += 1
+            raise ConnectionError(str(error)) from error
+        return Response(answer.status, answer.body)
+
+
+def duty_of(path: str) -> str | None:
+    """The duty that a source file serves; None for what is charged to its callers."""
+    if path == "~":
+        return None
+    return next((duty for part, duty in DUTIES if part in path), "the rest")
+
+
+def shares(profile: Path) -> list[tuple[str, float]]:
+    """Each duty's part of the processor time; built-in functions count for their callers."""
+    stats: Any = pstats.Stats(str(profile))
+    times: Counter[str] = Counter()
+    for (path, _, name), (_, _, own, _, callers) in stats.stats.items():
+        if "select.epoll" in name or "select.poll" in name:
+            continue
+        duty = duty_of(path)
+        if duty is not None:
+            times[duty] += own
+            continue
+        for (caller, _, _), figures in callers.items():
+            times[duty_of(caller) or _built_in(name)] += figures[2]
+    total = sum(times.values()) or 1.0
+    return [(duty, spent / total) for duty, spent in times.most_common()]
+
+
+def _built_in(name: str) -> str:
+    return next((duty for part, duty in DUTIES if part.rstrip("/") in name), "the rest")
+
+
+def report(phase: Phase, profile: Path | None) -> None:
+    """Prints one phase."""
+    load = phase.cpu_s / phase.wall_s * 100
+    print(f"\n{phase.name}: {phase.cpu_s:.2f} s of processor in {phase.wall_s:.1f} s ({load:.1f}% of a core)")
+    print(f"  memory so far: {phase.memory_mb:.1f} MB at the most")
+    reports = phase.requests["reports"]
+    if reports:
+        print(f"  {phase.cpu_s / reports * 1e6:.0f} us of processor a report, all else included")
+    print("  " + ", ".join(f"{count} {what}" for what, count in sorted(phase.requests.items())))
+    if profile is not None:
+        print("  " + ", ".join(f"{duty} {share:.0%}" for duty, share in shares(profile) if share >= 0.01))
+        print(f"  profile: {profile}")
+
+
+def main() -> None:
+    """Runs all phases and prints them."""
+    arguments = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
+    arguments.add_argument("--machines", type=int, default=600)
+    arguments.add_argument(
+        "--jobs", type=int, default=150, help=f"submitted at the opening, and again each {TASK_S:.0f} s"
+    )
+    arguments.add_argument("--profile", type=Path, metavar="DIR", help="write profiles to this new directory")
+    options = arguments.parse_args()
+    loop = RealLoop()
+    asyncio.set_event_loop(loop)
+    cluster = Cluster(loop, options.machines, options.jobs, options.profile)
+    loop.run_until_complete(cluster.run())
+    for phase, profile in cluster.phases:
+        report(phase, profile)
+
+
+if __name__ == "__main__":
+    main()
