--- a/run.py
+++ b/run.py
@@ -4,13 +4,13 @@
 """
 
 import gc
+import os
 import sys
-from pathlib import Path
 
 # Nothing that is loaded at the start is garbage; `serve` turns collections on when all is there.
 gc.disable()
-ROOT = Path(__file__).resolve().parent
-sys.path[:0] = [str(ROOT / "src"), str(ROOT / "target" / "app")]
+ROOT = os.path.dirname(os.path.abspath(__file__))
+sys.path[:0] = [os.path.join(ROOT, "src"), os.path.join(ROOT, "target", "app")]
 
 from elmthread.cli import main  # noqa: E402  (the paths above come first)
 
