--- a/run.py
+++ b/run.py
@@ -4,13 +4,12 @@
 """
 
 import gc
-import os
 import sys
 
 # Nothing that is loaded at the start is garbage; `serve` turns collections on when all is there.
 gc.disable()
-ROOT = os.path.dirname(os.path.abspath(__file__))
-sys.path[:0] = [os.path.join(ROOT, "src"), os.path.join(ROOT, "target", "app")]
+ROOT = __file__.rpartition("/")[0] or "."
+sys.path[:0] = [f"{ROOT}/src", f"{ROOT}/target/app"]
 
 from elmthread.cli import main  # noqa: E402  (the paths above come first)
 
