--- a/src/elmthread/agents/messages.py
+++ b/src/elmthread/agents/messages.py
@@ -1,5 +1,6 @@
 """Workers' reports and the commands in their answers; wire words stay here."""
 
+from operator import attrgetter
 from typing import Any
 
 import msgspec
@@ -49,11 +50,14 @@
     tasks: list[Task] = []
 
 
+_attempt_of = attrgetter("attempt")
+
+
 def read_report(body: Any) -> Report:
     """Raises msgspec.ValidationError."""
     report = msgspec.convert(body, Report)
     # A token is believed: one that can't be would make every leader give way.
-    numbers = (report.session, report.sequence, report.token, *(task.attempt for task in report.tasks))
+    numbers = (report.session, report.sequence, report.token, *map(_attempt_of, report.tasks))
     if min(numbers) < 0 or max(numbers) >= MOST:
         raise msgspec.ValidationError("a number is out of range")
     return report
--- a/src/elmthread/agents/service.py
+++ b/src/elmthread/agents/service.py
@@ -229,10 +229,11 @@
             self._changed()
         exits: list[Task] = []
         stops: list[dict[str, Any]] = []
-        listed: set[int] = set()
         for task in report.tasks:
-            listed.add(task.attempt)
             hold = machine.holds.get(task.attempt)
+            if hold is not None and STATES.get(task.state) is hold.state:
+                # As the last report had it: so it is with most of what is listed.
+                continue
             if task.state == "exited":
                 self._exited(machine, hold, task, now)
                 exits.append(task)
@@ -241,7 +242,7 @@
             else:
                 stops += self._unexpected(machine, task, now)
         lost = False
-        for hold in [hold for hold in machine.holds.values() if hold.attempt not in listed]:
+        for hold in self._not_listed(machine, report):
             if hold.state in _MUST_BE_LISTED:
                 # Killed with its session, or never sent by the leader before us.
                 log.info("%s no longer has %s/%s", machine.name, hold.job.id, hold.task)
@@ -256,6 +257,12 @@
             machine.deaf_since = now
         return exits, stops
 
+    def _not_listed(self, machine: Machine, report: Report) -> list[Hold]:
+        listed = {task.attempt for task in report.tasks}
+        if machine.holds.keys() <= listed:
+            return []
+        return [hold for attempt, hold in machine.holds.items() if attempt not in listed]
+
     def _seen(self, hold: Hold, task: Task, now: timedelta) -> None:
         state = STATES.get(task.state)
         if state is None:
@@ -334,9 +341,12 @@
         now = self._clock()
         for hold in list(machine.holds.values()):
             job = hold.job
-            name = messages.task_name(job.id, hold.task)
             if not job.open or job.is_done(hold.task):
                 hold.stop = Stop.KILL
+            elif hold.stop is None and hold.state is not HoldState.PLANNED and hold.state is not HoldState.READY:
+                # It runs, and is to run on: so it is with most.
+                continue
+            name = messages.task_name(job.id, hold.task)
             unwanted = hold.stop is not None or machine.state is not MachineState.UP or machine.deaf_since is not None
             if unwanted and hold.state in (HoldState.PLANNED, HoldState.READY) and not hold.sent:
                 # No start is on its way, so it is surely not there.
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -4,6 +4,10 @@
 from collections import Counter
 from typing import Any
 
+import pytest
+
+from elmthread.agents import messages
+from elmthread.agents.service import Agents
 from elmthread.placement import decide
 from tests.test_world import day, set_apart, start
 from tests.world.world import World, job
@@ -195,3 +199,37 @@
             assert (await world.ask("GET", "/ready", node=node)).status == 200
 
     day(script, machines=0, each=MACHINES)
+
+
+def test_a_report_that_says_nothing_new_costs_nothing_for_the_tasks_in_it(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Most of what reports list runs on as before: neither is it taken in again, nor weighed for a command."""
+    work: Counter[str] = Counter()
+
+    def count(owner: Any, name: str) -> None:
+        real = getattr(owner, name)
+
+        def counted(*arguments: Any) -> Any:
+            work[name] += 1
+            return real(*arguments)
+
+        monkeypatch.setattr(owner, name, counted)
+
+    count(Agents, "beat")
+    count(Agents, "_seen")
+    count(messages, "task_name")
+
+    async def script(world: World) -> None:
+        for _ in range(4):
+            world.rent("large", "east")
+        await asyncio.sleep(2)
+        assert await world.submit(job(1, pieces=40, true_s=60.0, expected_s=60.0))
+        await asyncio.sleep(12)
+        assert len(world.rules.where) == 40
+        assert work["_seen"] >= 40 and work["task_name"] >= 40
+        work.clear()
+        await asyncio.sleep(15)
+        assert len(world.rules.where) == 40
+        assert work["beat"] >= 10
+        assert work["_seen"] == work["task_name"] == 0
+
+    day(script, machines=0)
