A submission is answered before the decisions that it causes, and without a task of its own

Ruled out: the store (10 ms unloaded), overload (timers 0.1 to 0.3 s late, nothing refused). Change: what an accepted job causes begins six passes later; the record's own future is waited for, not a task. The stand-in writer in intake's test follows the new call. The new test was seen failing without the change.

--- a/src/elmthread/controller.py
+++ b/src/elmthread/controller.py
@@ -46,6 +46,9 @@
 GATHER = seconds(0.5)
 # A leader that reaches nobody but the state service gives way, though not more often than this.
 ALONE_AGAIN = seconds(120)
+# Passes of the event loop in which an answer leaves for what has just become durable. The change
+# that it tells of causes a round of decisions, which on a small share takes longer than all of them.
+ANSWER_PASSES = 6
 # Rounds of decisions that overload puts off at most, before one is made all the same.
 MOST_PUT_OFF = 20
 # A round of decisions that takes this long is told of in the log.
@@ -177,8 +180,14 @@
         self._change.set()
 
     def accepted(self) -> None:
-        """A job came: late groups are rented for at once, not at the next check."""
+        """A job came: late groups are rented for at once, not at the next check, though its answer goes first."""
         self.placement.stale()
+        self._decide_after(ANSWER_PASSES)
+
+    def _decide_after(self, passes: int) -> None:
+        if passes > 0:
+            asyncio.get_running_loop().call_soon(self._decide_after, passes - 1)
+            return
         self._change.set()
         self._shortfall.set()
 
--- a/src/elmthread/intake/service.py
+++ b/src/elmthread/intake/service.py
@@ -55,7 +55,7 @@
         self._types_known = types_known
         self._changed = changed
         # Submissions and withdrawals on their way to the store, by job.
-        self._storing: dict[str, asyncio.Task[None]] = {}
+        self._storing: dict[str, asyncio.Future[None]] = {}
 
     @property
     def token(self) -> int:
@@ -114,28 +114,25 @@
             job.stored = job.writing
             self._changed()
 
-        async def run() -> None:
-            await self._writer.written(job_key(job.id), Rank.USER, self._record(job), durable)
+        stored = self._writer.written(job_key(job.id), Rank.USER, self._record(job), durable)
+        self._storing[job.id] = stored
 
-        task = asyncio.get_running_loop().create_task(run())
-        self._storing[job.id] = task
-
-        def over(done: asyncio.Task[None]) -> None:
+        def over(done: asyncio.Future[None]) -> None:
             if self._storing.get(job.id) is done:
                 del self._storing[job.id]
             if not done.cancelled():
                 done.exception()
 
-        task.add_done_callback(over)
+        stored.add_done_callback(over)
 
     async def _stored(self, job_id: str) -> Response | None:
         """None once the job's record is durable; else what to tell the user now."""
-        task = self._storing.get(job_id)
-        if task is None:
+        stored = self._storing.get(job_id)
+        if stored is None:
             return None
         try:
             async with asyncio.timeout(DURABLE_TIME.total_seconds()):
-                await asyncio.shield(task)
+                await asyncio.shield(stored)
         except (TimeoutError, Stopped):
             return again(503, SOON, "not durable yet")
         return None
--- a/src/elmthread/intake/tests/test_service.py
+++ b/src/elmthread/intake/tests/test_service.py
@@ -19,19 +19,19 @@
     """A writer that makes nothing durable until it is told to."""
 
     def __init__(self) -> None:
-        self.waiting: list[tuple[Callable[[], Any], Callable[[], None], asyncio.Event]] = []
+        self.waiting: list[tuple[Callable[[], Any], Callable[[], None], asyncio.Future[None]]] = []
         self.failing_since: timedelta | None = None
 
-    async def written(self, key: str, rank: Rank, make: Callable[[], Any], after: Callable[[], None]) -> None:
-        event = asyncio.Event()
-        self.waiting.append((make, after, event))
-        await event.wait()
+    def written(self, key: str, rank: Rank, make: Callable[[], Any], after: Callable[[], None]) -> asyncio.Future[None]:
+        stored = asyncio.get_running_loop().create_future()
+        self.waiting.append((make, after, stored))
+        return stored
 
     def take(self) -> None:
-        for make, after, event in self.waiting:
+        for make, after, stored in self.waiting:
             make()
             after()
-            event.set()
+            stored.set_result(None)
         self.waiting.clear()
 
 
--- a/src/elmthread/ledger/writer.py
+++ b/src/elmthread/ledger/writer.py
@@ -126,11 +126,12 @@
         if key in self._slots or key in self._waiting or key in self._busy:
             self.write(key, Rank.TIDY, lambda: None)
 
-    async def written(self, key: str, rank: Rank, make: Make, after: Callable[[], None]) -> None:
-        """Returns once make()'s value is durable; `after` is called at that very moment."""
+    def written(self, key: str, rank: Rank, make: Make, after: Callable[[], None]) -> asyncio.Future[None]:
+        """Done once make()'s value is durable; `after` is called at that very moment."""
         future: asyncio.Future[None] = asyncio.get_running_loop().create_future()
         if self._stopped:
-            raise Stopped
+            future.set_exception(Stopped())
+            return future
         self._futures.add(future)
         future.add_done_callback(self._futures.discard)
 
@@ -140,7 +141,7 @@
                 future.set_result(None)
 
         self.write(key, rank, make, durable)
-        await future
+        return future
 
     def stop(self) -> None:
         self._stopped = True
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -8,7 +8,11 @@
 
 from elmthread.agents import messages
 from elmthread.agents.service import Agents
+from elmthread.controller import Leader
+from elmthread.intake.service import Intake
 from elmthread.placement import decide
+from elmthread.placement.service import Placement
+from elmthread.sizing.service import Sizing
 from tests.test_world import day, set_apart, start
 from tests.world.world import World, job
 
@@ -233,3 +237,40 @@
         assert work["_seen"] == work["task_name"] == 0
 
     day(script, machines=0)
+
+
+def test_an_answer_leaves_before_the_decisions_that_its_job_causes(monkeypatch: pytest.MonkeyPatch) -> None:
+    """A round of decisions takes longer than an answer, and would hold it up on a small share."""
+    events: list[str] = []
+    submit = Intake.submit
+
+    def note(owner: type, name: str, event: str) -> None:
+        real = getattr(owner, name)
+
+        def noted(*arguments: Any) -> Any:
+            events.append(event)
+            return real(*arguments)
+
+        monkeypatch.setattr(owner, name, noted)
+
+    async def answered(*arguments: Any) -> Any:
+        response = await submit(*arguments)
+        events.append("answer")
+        return response
+
+    monkeypatch.setattr(Intake, "submit", answered)
+    note(Leader, "accepted", "durable")
+    note(Placement, "round", "round")
+    note(Sizing, "round", "round")
+
+    async def script(world: World) -> None:
+        await asyncio.sleep(5)
+        events.clear()
+        for number in range(20):
+            assert await world.submit(job(number))
+            await asyncio.sleep(0.1 * (number % 7))
+
+    day(script)
+    after_durable = [events[index + 1] for index, event in enumerate(events) if event == "durable"]
+    assert after_durable == ["answer"] * 20
+    assert "round" in events
