--- a/src/elmthread/intake/api.py
+++ b/src/elmthread/intake/api.py
@@ -110,13 +110,13 @@
             return await self._here(ask)
         leader = self._election.leader
         if leader is None or leader == self._node:
-            return again(503, SOON, "no leader")
+            return self._elsewhere("no leader")
         asked = self._clock()
         ask.token = self._election.seen_token
         try:
             reply = await self._peers.ask(leader, ask, ASK_TIME[ask.verb])
         except NotReached:
-            return again(503, SOON, "the leader does not answer")
+            return self._elsewhere("the leader does not answer")
 
         def fresh() -> bool:
             # Neither has this node stood still with the answer, nor is a newer leader known.
@@ -125,6 +125,16 @@
         after = None if reply.retry_after_s is None else seconds(reply.retry_after_s)
         return Response(reply.status, reply.body, after, sure=None if reply.status == 503 else fresh)
 
+    def _elsewhere(self, why: str) -> Response:
+        """The user is to ask again; of a node that is not ready, on a connection to another node.
+
+        The load balancer sends new connections elsewhere by then, but leaves open ones where they
+        are for seconds more, on which the user would ask here again and again.
+        """
+        response = again(503, SOON, why)
+        response.close = self._ready().status != 200
+        return response
+
     async def _here(self, ask: Ask) -> Response:
         """Answers as the leader, with a view that is complete and a lease that surely holds."""
         intake = self._intake()
--- a/tests/test_world.py
+++ b/tests/test_world.py
@@ -486,8 +486,13 @@
         reach = world.reach
         world.reach = lambda one, other: cut not in (one, other) and reach(one, other)  # type: ignore[method-assign]
         world.ports[cut][0].trouble.cut = True
+        # The user asks again, here while it may be over at once, and then on a connection to another node.
+        response = await world.ask("GET", "/submissions/run-000001", node=cut)
+        assert (response.status, response.close) == (503, False)
         await asyncio.sleep(6)
         assert not await ready(cut) and await ready(name)
+        response = await world.ask("GET", "/submissions/run-000001", node=cut)
+        assert (response.status, response.close) == (503, True)
         world.reach = reach  # type: ignore[method-assign]
         world.ports[cut][0].trouble.cut = False
         await asyncio.sleep(3)
