--- a/src/elmthread/common/http.py
+++ b/src/elmthread/common/http.py
@@ -367,9 +367,7 @@
         except (OSError, TimeoutError, EOFError, h11.ProtocolError, BadBody, asyncio.IncompleteReadError) as error:
             raise NoAnswer(f"{method} {path.split('?')[0]}: {error or type(error).__name__}") from error
 
-    async def _exchange(
-        self, method: str, path: str, payload: bytes, sure: Callable[[], bool] | None
-    ) -> Answer:
+    async def _exchange(self, method: str, path: str, payload: bytes, sure: Callable[[], bool] | None) -> Answer:
         while True:
             if self._idle:
                 reader, writer, conn = self._idle.pop()
--- a/src/elmthread/fleet/client.py
+++ b/src/elmthread/fleet/client.py
@@ -49,9 +49,7 @@
         since = "" if after is None else f"&since={after}"
         return _read(await self._call("GET", f"/hosts?most={most}{since}"), messages.Page)
 
-    async def _call(
-        self, method: str, path: str, body: Any = None, sure: Callable[[], bool] | None = None
-    ) -> Answer:
+    async def _call(self, method: str, path: str, body: Any = None, sure: Callable[[], bool] | None = None) -> Answer:
         try:
             answer = await self._caller.call(method, path, body, timeout=CALL_TIME, sure=sure)
         except NoAnswer as error:
--- a/src/elmthread/fleet/service.py
+++ b/src/elmthread/fleet/service.py
@@ -276,9 +276,7 @@
         self.orders[order.name] = order
         record = RentalRecord(kind.build, kind.zone, kind.spot, pool)
         log.info("renting %s %s", count, kind)
-        self._writer.write(
-            rental_key(order.name), Rank.ASSIGN, lambda: record, lambda: self._ready.append(order)
-        )
+        self._writer.write(rental_key(order.name), Rank.ASSIGN, lambda: record, lambda: self._ready.append(order))
 
     def refused(self, kind: Kind) -> bool:
         if kind.zone in self._cut:
--- a/src/elmthread/ledger/writer.py
+++ b/src/elmthread/ledger/writer.py
@@ -247,9 +247,7 @@
         then = []
         for one in filled:
             guards.append(messages.guard(one.slot.key, one.slot.stamp))
-            then.append(
-                messages.put(one.slot.key, msgspec.to_builtins(SlotRecord(one.number, pack(one.texts))))
-            )
+            then.append(messages.put(one.slot.key, msgspec.to_builtins(SlotRecord(one.number, pack(one.texts)))))
         unsure = False
         while not self._stopped:
             try:
--- a/src/elmthread/placement/tests/plain.py
+++ b/src/elmthread/placement/tests/plain.py
@@ -106,5 +106,3 @@
         chosen += some
         take(want, slot, room, 1)
     return chosen
-
-
--- a/src/elmthread/sizing/service.py
+++ b/src/elmthread/sizing/service.py
@@ -111,9 +111,7 @@
         rooms = self._placement.rooms()
         # One more like the largest there is must find room at once, spread as it may have to be.
         largest = max(daemons, key=lambda job: (not job.spec.spot, job.total * job.spec.cpus))
-        next_one = replace(
-            self._placement.want_of(largest), count=largest.total, zones={}, machines={}, avoid=()
-        )
+        next_one = replace(self._placement.want_of(largest), count=largest.total, zones={}, machines={}, avoid=())
         left = unplaced([*waiting, next_one], self._soon_room([*waiting, next_one], now), rooms)
         if left:
             self._order(machines_for(left, self._offers(left), rooms, MOST_AT_ONCE), pool=False)
@@ -188,9 +186,7 @@
             # goes ahead of what is judged here.
             # Replicas have room made for them apart, and no deadline to be judged by.
             waiting = [
-                want
-                for want in group
-                if not self._book.jobs[want.job].daemon and (not want.urgent or not places)
+                want for want in group if not self._book.jobs[want.job].daemon and (not want.urgent or not places)
             ]
             if waiting:
                 alike.setdefault(places, []).extend(waiting)
@@ -453,9 +449,7 @@
         outside = [
             m
             for m in self._book.machines.values()
-            if not m.pool
-            and not m.cut
-            and m.state in (MachineState.UP, MachineState.BOOTING, MachineState.UNSURE)
+            if not m.pool and not m.cut and m.state in (MachineState.UP, MachineState.BOOTING, MachineState.UNSURE)
         ]
         cores = sum(m.cpus for m in outside)
         for order in self._fleet.orders.values():
@@ -495,11 +489,7 @@
         share stays in the band.
         """
         most = self.theta + self._operators.delta
-        empty = [
-            m
-            for m in outside
-            if m.open and m.fading and not m.holds and now - m.empty_since > self._idle_for(m)
-        ]
+        empty = [m for m in outside if m.open and m.fading and not m.holds and now - m.empty_since > self._idle_for(m)]
         for machine in sorted(empty, key=lambda m: -m.core_price):
             if urgent <= most * (cores - machine.cpus):
                 cores -= machine.cpus
--- a/src/elmthread/sizing/tests/test_services.py
+++ b/src/elmthread/sizing/tests/test_services.py
@@ -12,24 +12,25 @@
 
 
 def want(count: int, most: float = math.inf, **changes: object) -> Want:
-    return Want(**{  # type: ignore[arg-type]
-        "job": "s",
-        "team": "t",
-        "order": (0.0,),
-        "count": count,
-        "cpus": 2.0,
-        "cards": 0.0,
-        "ram": 2.0,
-        "spot": False,
-        "urgent": True,
-        "zone_most": most,
-    } | changes)
+    return Want(
+        **{  # type: ignore[arg-type]
+            "job": "s",
+            "team": "t",
+            "order": (0.0,),
+            "count": count,
+            "cpus": 2.0,
+            "cards": 0.0,
+            "ram": 2.0,
+            "spot": False,
+            "urgent": True,
+            "zone_most": most,
+        }
+        | changes
+    )
 
 
 OFFERS = [
-    Offer("small", zone, spot, 4.0, 0.2 if spot else 0.5, 30.0, ram=8.0)
-    for zone in "xyz"
-    for spot in (True, False)
+    Offer("small", zone, spot, 4.0, 0.2 if spot else 0.5, 30.0, ram=8.0) for zone in "xyz" for spot in (True, False)
 ] + [Offer("large", "x", False, 32.0, 4.0, 30.0, ram=64.0)]
 
 
--- a/tests/test_gap.py
+++ b/tests/test_gap.py
@@ -56,8 +56,7 @@
     refused_until = world.loop.now + refused_for
     world.loop.call_later(refused_for, again)
     calls = [
-        world.loop.create_task(delayed(rng.uniform(0.0, 6.0), partial(world.withdraw, job_id, 50.0)))
-        for job_id in ids
+        world.loop.create_task(delayed(rng.uniform(0.0, 6.0), partial(world.withdraw, job_id, 50.0))) for job_id in ids
     ]
     await asyncio.sleep(rng.uniform(0.5, 6.0))
     world.store.outage(True)
@@ -165,9 +164,7 @@
         assert await world.submit(job(2, pieces=2, true_s=200.0, expected_s=200.0))
         await asyncio.sleep(8)
         assert await world.withdraw("run-000001") == "cancelled"
-        listed = {
-            name: [task for on, task in world.rules.where if on == name] for name in world.workers
-        }
+        listed = {name: [task for on, task in world.rules.where if on == name] for name in world.workers}
         body = next(
             worker._body() for worker in world.workers.values() if any("000001" in task for task in listed[worker.name])
         )
--- a/tests/world/meetings.py
+++ b/tests/world/meetings.py
@@ -354,7 +354,8 @@
     jobs.sort(key=lambda one: (one not in on, specs[one]["crew"] != "red"))
     for job_id in jobs[:3]:
         stage.world.loop.call_later(
-            stage.world.rng.uniform(0, 0.2), lambda one=job_id: stage.begin(stage.cancel(one))  # type: ignore[misc]
+            stage.world.rng.uniform(0, 0.2),
+            lambda one=job_id: stage.begin(stage.cancel(one)),  # type: ignore[misc]
         )
 
 
--- a/tests/world/world.py
+++ b/tests/world/world.py
@@ -138,18 +138,21 @@
 
 def daemon(number: int, **changes: Any) -> dict[str, Any]:
     """A service: `true_s` is how long a replica serves before it ends by itself, with `ends`."""
-    return job(
-        number,
-        docket="gateway",
-        form="daemon",
-        urgency="production",
-        pieces=3,
-        loaners=False,
-        scatter=True,
-        expected_s=0.0,
-        true_s=float("inf"),
-        ends="done",
-    ) | changes
+    return (
+        job(
+            number,
+            docket="gateway",
+            form="daemon",
+            urgency="production",
+            pieces=3,
+            loaners=False,
+            scatter=True,
+            expected_s=0.0,
+            true_s=float("inf"),
+            ends="done",
+        )
+        | changes
+    )
 
 
 def sent(spec: dict[str, Any]) -> dict[str, Any]:
