Records are msgspec structs, as messages are; dataclasses cost each start a few hundredths of a second

Cause: importing the modules that define dataclasses took some 20 ms of the 150 ms of processor time that a start takes (-X importtime): each generates and compiles its methods.

--- a/src/elmthread/common/http.py
+++ b/src/elmthread/common/http.py
@@ -13,6 +13,7 @@
 import cbor2
 import h11
 import httptools
+import msgspec
 
 from elmthread.common.clock import Clock, seconds, steady
 
@@ -28,8 +29,7 @@
 IDLE_TIME = seconds(75)
 
 
-@dataclass(slots=True)
-class Request:
+class Request(msgspec.Struct):
     method: str
     path: str
     query: Mapping[str, str]
@@ -39,8 +39,7 @@
     answered_at: timedelta | None = None
 
 
-@dataclass(slots=True)
-class Response:
+class Response(msgspec.Struct):
     status: int
     body: Any = None
     retry_after: timedelta | None = None
@@ -74,8 +73,7 @@
 REASONS = {200: b"OK", 201: b"Created", 400: b"Bad Request", 404: b"Not Found"}
 
 
-@dataclass(slots=True, eq=False)
-class _Open:
+class _Open(msgspec.Struct, eq=False):
     writer: asyncio.StreamWriter
     until: timedelta
     heard: timedelta
@@ -85,8 +83,7 @@
     crowd: bool = False
 
 
-@dataclass(slots=True, frozen=True)
-class Crowd:
+class Crowd(msgspec.Struct, frozen=True):
     """Clients that come by the hundred and ask in short turns: they leave room for the others."""
 
     path: str
@@ -225,8 +222,7 @@
     """What came is no request, or is too large."""
 
 
-@dataclass(slots=True)
-class _Whole:
+class _Whole(msgspec.Struct):
     """A request that has come in whole."""
 
     method: str
@@ -332,8 +328,7 @@
     """The request was not sent: right before, it was no longer right to send it."""
 
 
-@dataclass(slots=True)
-class Answer:
+class Answer(msgspec.Struct):
     status: int
     body: Any
 
--- a/src/elmthread/fleet/service.py
+++ b/src/elmthread/fleet/service.py
@@ -9,11 +9,12 @@
 import logging
 from collections import Counter, deque
 from collections.abc import Callable, Coroutine
-from dataclasses import dataclass
 from datetime import timedelta
 from functools import partial
 from typing import Any
 
+import msgspec
+
 from elmthread.common.clock import ZERO, Clock, at_least, seconds
 from elmthread.fleet import messages
 from elmthread.fleet.client import MOST_DELETED, MOST_LISTED, MOST_RENTED, CloudClient, NoCapacity, Trouble
@@ -62,15 +63,13 @@
 BOOT_SLACK = seconds(10)
 
 
-@dataclass(frozen=True)
-class Kind:
+class Kind(msgspec.Struct, frozen=True):
     build: str
     zone: str
     spot: bool
 
 
-@dataclass(slots=True)
-class Order:
+class Order(msgspec.Struct):
     """A rental on its way: its machines count as coming."""
 
     name: str
--- a/src/elmthread/ledger/log.py
+++ b/src/elmthread/ledger/log.py
@@ -10,7 +10,6 @@
 """
 
 from collections.abc import Iterable
-from dataclasses import dataclass, field
 from itertools import count
 from typing import Any
 
@@ -58,14 +57,13 @@
     return size + whole.count('"') + whole.count("\\") + 8
 
 
-@dataclass(slots=True, eq=False)
-class Slot:
+class Slot(msgspec.Struct, eq=False):
     key: str
     stamp: int = 0
     # Every record that stands in it, current or not.
     keys: frozenset[str] = frozenset()
     # Those of them of which no newer version is durable, and the bytes they take.
-    current: set[str] = field(default_factory=set)
+    current: set[str] = msgspec.field(default_factory=set)
     live: int = 0
 
 
--- a/src/elmthread/placement/decide.py
+++ b/src/elmthread/placement/decide.py
@@ -3,15 +3,15 @@
 import heapq
 import math
 from collections.abc import Collection, Iterable
-from dataclasses import dataclass, field
 from datetime import timedelta
 from enum import IntEnum
 
+import msgspec
+
 from elmthread.common.clock import ZERO
 
 
-@dataclass(slots=True)
-class Slot:
+class Slot(msgspec.Struct):
     """A machine with room."""
 
     name: str
@@ -25,13 +25,12 @@
     fetch_rate: float = 1.0
     images: frozenset[str] | dict[str, float] = frozenset()
     # Images that it fetches now, or will for tasks it has been given.
-    coming: set[str] = field(default_factory=set)
+    coming: set[str] = msgspec.field(default_factory=set)
     record_left: float = math.inf  # bytes that its record in the store may still take
     fading: bool = False
 
 
-@dataclass(slots=True)
-class Want:
+class Want(msgspec.Struct):
     """Tasks of one job that wait for room, all alike."""
 
     job: str
@@ -48,7 +47,7 @@
     spot: bool = True
     one_zone: bool = False
     # Tasks of the job by zone, as far as they may be on machines now.
-    zones: dict[str, int] = field(default_factory=dict)
+    zones: dict[str, int] = msgspec.field(default_factory=dict)
     zone_most: float = math.inf  # for a spread job: most tasks in one zone
     # Machines on which the job has failed: not tried again there.
     avoid: Collection[str] = frozenset()
@@ -61,11 +60,10 @@
     # should not take all of a service.
     machine_most: float = math.inf
     # Tasks of the job by machine, as far as they may be there now; kept only with such a bound.
-    machines: dict[str, int] = field(default_factory=dict)
+    machines: dict[str, int] = msgspec.field(default_factory=dict)
 
 
-@dataclass(slots=True)
-class Room:
+class Room(msgspec.Struct):
     """What a team may still use."""
 
     cpus: float = math.inf
@@ -248,8 +246,7 @@
     room.cards -= count * want.cards
 
 
-@dataclass(slots=True)
-class Victim:
+class Victim(msgspec.Struct):
     """A running task that may be stopped, and what stopping it loses."""
 
     attempt: int
--- a/src/elmthread/sizing/decide.py
+++ b/src/elmthread/sizing/decide.py
@@ -7,9 +7,10 @@
 
 import math
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass
 from enum import Enum, auto
 
+import msgspec
+
 # Machines that cost this many times the cheapest a core are rented only where no others are left.
 DEAR = 1.6
 # Bounds the judging that cheaper machines take.
@@ -36,16 +37,14 @@
     return Band.STAY
 
 
-@dataclass(slots=True, frozen=True)
-class Supply:
+class Supply(msgspec.Struct, frozen=True):
     """Cores that serve deferrable work from a time on."""
 
     start: float
     cores: float
 
 
-@dataclass(slots=True)
-class Group:
+class Group(msgspec.Struct):
     """Waiting deferrable tasks with about the same deadline."""
 
     due: float
@@ -54,8 +53,7 @@
     usable: float  # cores that its tasks, within their teams' limits, can use at once
 
 
-@dataclass(slots=True, frozen=True)
-class Offer:
+class Offer(msgspec.Struct, frozen=True):
     """A kind of machine that can be rented, as far as is known."""
 
     build: str
@@ -228,8 +226,7 @@
     return kept
 
 
-@dataclass(slots=True, frozen=True)
-class Line:
+class Line(msgspec.Struct, frozen=True):
     """A job in its team's line: core-seconds left, the soonest it can end, and its deadline."""
 
     job: str
