--- /dev/null
+++ b/tests/test_known_red.py
@@ -0,0 +1,54 @@
+"""What KNOWN-RED.txt excuses, and what it does not."""
+
+import shutil
+from pathlib import Path
+
+import pytest
+
+HERE = Path(__file__).parent
+TESTS = """
+def test_red():
+    assert False
+
+def test_green():
+    assert True
+
+def test_other_red():
+    assert {other}
+"""
+
+
+def run(pytester: pytest.Pytester, listed: str, other: bool = True) -> pytest.RunResult:
+    folder = pytester.mkpydir("tests")
+    for name in ("conftest.py", "known_red.py"):
+        shutil.copy(HERE / name, folder)
+    (folder / "test_some.py").write_text(TESTS.format(other=other))
+    (pytester.path / "KNOWN-RED.txt").write_text(listed)
+    pytester.makeini("[pytest]\ntestpaths = tests\npythonpath = .\n")
+    return pytester.runpytest_subprocess()
+
+
+RED = "tests/test_some.py::test_red, fails, and we know why, issue 7\n"
+
+
+def test_a_listed_test_may_fail_and_is_printed(pytester: pytest.Pytester) -> None:
+    result = run(pytester, RED)
+    assert result.ret == 0
+    result.stdout.fnmatch_lines(["known red: tests/test_some.py::test_red: fails, and we know why (issue 7)"])
+    result.assert_outcomes(passed=2, xfailed=1)
+
+
+@pytest.mark.parametrize(
+    ("listed", "other"),
+    [
+        ("", True),
+        (RED, False),
+        (RED + "tests/test_some.py::test_green, does not fail, issue 7\n", True),
+        (RED + "tests/test_some.py::test_absent, there is none, issue 7\n", True),
+        (RED + "tests/test_some.py::test_other_red\n", False),
+        (RED * 4, True),
+    ],
+    ids=["not listed", "another fails", "a listed one passes", "no such test", "no cause", "more than three"],
+)
+def test_nothing_else_is_excused(pytester: pytest.Pytester, listed: str, other: bool) -> None:
+    assert run(pytester, listed, other).ret != 0
