--- a/src/elmthread/common/http.py
+++ b/src/elmthread/common/http.py
@@ -13,7 +13,6 @@
 import cbor2
 import h11
 import httptools
-import msgspec
 
 from elmthread.common.clock import Clock, seconds, steady
 
@@ -29,7 +28,8 @@
 IDLE_TIME = seconds(75)
 
 
-class Request(msgspec.Struct):
+@dataclass(slots=True)
+class Request:
     method: str
     path: str
     query: Mapping[str, str]
@@ -39,7 +39,8 @@
     answered_at: timedelta | None = None
 
 
-class Response(msgspec.Struct):
+@dataclass(slots=True)
+class Response:
     status: int
     body: Any = None
     retry_after: timedelta | None = None
@@ -73,7 +74,8 @@
 REASONS = {200: b"OK", 201: b"Created", 400: b"Bad Request", 404: b"Not Found"}
 
 
-class _Open(msgspec.Struct, eq=False):
+@dataclass(slots=True, eq=False)
+class _Open:
     writer: asyncio.StreamWriter
     until: timedelta
     heard: timedelta
@@ -83,7 +85,8 @@
     crowd: bool = False
 
 
-class Crowd(msgspec.Struct, frozen=True):
+@dataclass(slots=True, frozen=True)
+class Crowd:
     """Clients that come by the hundred and ask in short turns: they leave room for the others."""
 
     path: str
@@ -222,7 +225,8 @@
     """What came is no request, or is too large."""
 
 
-class _Whole(msgspec.Struct):
+@dataclass(slots=True)
+class _Whole:
     """A request that has come in whole."""
 
     method: str
@@ -328,7 +332,8 @@
     """The request was not sent: right before, it was no longer right to send it."""
 
 
-class Answer(msgspec.Struct):
+@dataclass(slots=True)
+class Answer:
     status: int
     body: Any
 
--- a/src/elmthread/fleet/service.py
+++ b/src/elmthread/fleet/service.py
@@ -9,12 +9,11 @@
 import logging
 from collections import Counter, deque
 from collections.abc import Callable, Coroutine
+from dataclasses import dataclass
 from datetime import timedelta
 from functools import partial
 from typing import Any
 
-import msgspec
-
 from elmthread.common.clock import ZERO, Clock, at_least, seconds
 from elmthread.fleet import messages
 from elmthread.fleet.client import MOST_DELETED, MOST_LISTED, MOST_RENTED, CloudClient, NoCapacity, Trouble
@@ -63,13 +62,15 @@
 BOOT_SLACK = seconds(10)
 
 
-class Kind(msgspec.Struct, frozen=True):
+@dataclass(frozen=True)
+class Kind:
     build: str
     zone: str
     spot: bool
 
 
-class Order(msgspec.Struct):
+@dataclass(slots=True)
+class Order:
     """A rental on its way: its machines count as coming."""
 
     name: str
--- a/src/elmthread/ledger/log.py
+++ b/src/elmthread/ledger/log.py
@@ -10,6 +10,7 @@
 """
 
 from collections.abc import Iterable
+from dataclasses import dataclass, field
 from itertools import count
 from typing import Any
 
@@ -57,13 +58,14 @@
     return size + whole.count('"') + whole.count("\\") + 8
 
 
-class Slot(msgspec.Struct, eq=False):
+@dataclass(slots=True, eq=False)
+class Slot:
     key: str
     stamp: int = 0
     # Every record that stands in it, current or not.
     keys: frozenset[str] = frozenset()
     # Those of them of which no newer version is durable, and the bytes they take.
-    current: set[str] = msgspec.field(default_factory=set)
+    current: set[str] = field(default_factory=set)
     live: int = 0
 
 
--- a/src/elmthread/ledger/writer.py
+++ b/src/elmthread/ledger/writer.py
@@ -9,6 +9,7 @@
 import asyncio
 import logging
 from collections.abc import Callable
+from dataclasses import dataclass, field
 from datetime import timedelta
 from enum import IntEnum
 from typing import Any
@@ -51,22 +52,24 @@
 Make = Callable[[], Any]
 
 
-class Change(msgspec.Struct, eq=False):
+@dataclass(eq=False, slots=True)
+class Change:
     """A record whose value is made when it is written; None deletes it."""
 
     key: str
     rank: Rank
     make: Make
     since: timedelta
-    after: list[Callable[[], None]] = msgspec.field(default_factory=list)
+    after: list[Callable[[], None]] = field(default_factory=list)
 
 
-class Filled(msgspec.Struct, eq=False):
+@dataclass(eq=False, slots=True)
+class Filled:
     """A slot on its way to the store."""
 
     slot: Slot
     number: int
-    texts: dict[str, str] = msgspec.field(default_factory=dict)
+    texts: dict[str, str] = field(default_factory=dict)
     size: int = 0
 
 
--- a/src/elmthread/placement/decide.py
+++ b/src/elmthread/placement/decide.py
@@ -3,15 +3,15 @@
 import heapq
 import math
 from collections.abc import Collection, Iterable
+from dataclasses import dataclass, field
 from datetime import timedelta
 from enum import IntEnum
 
-import msgspec
-
 from elmthread.common.clock import ZERO
 
 
-class Slot(msgspec.Struct):
+@dataclass(slots=True)
+class Slot:
     """A machine with room."""
 
     name: str
@@ -25,12 +25,13 @@
     fetch_rate: float = 1.0
     images: frozenset[str] | dict[str, float] = frozenset()
     # Images that it fetches now, or will for tasks it has been given.
-    coming: set[str] = msgspec.field(default_factory=set)
+    coming: set[str] = field(default_factory=set)
     record_left: float = math.inf  # bytes that its record in the store may still take
     fading: bool = False
 
 
-class Want(msgspec.Struct):
+@dataclass(slots=True)
+class Want:
     """Tasks of one job that wait for room, all alike."""
 
     job: str
@@ -47,7 +48,7 @@
     spot: bool = True
     one_zone: bool = False
     # Tasks of the job by zone, as far as they may be on machines now.
-    zones: dict[str, int] = msgspec.field(default_factory=dict)
+    zones: dict[str, int] = field(default_factory=dict)
     zone_most: float = math.inf  # for a spread job: most tasks in one zone
     # Machines on which the job has failed: not tried again there.
     avoid: Collection[str] = frozenset()
@@ -60,10 +61,11 @@
     # should not take all of a service.
     machine_most: float = math.inf
     # Tasks of the job by machine, as far as they may be there now; kept only with such a bound.
-    machines: dict[str, int] = msgspec.field(default_factory=dict)
+    machines: dict[str, int] = field(default_factory=dict)
 
 
-class Room(msgspec.Struct):
+@dataclass(slots=True)
+class Room:
     """What a team may still use."""
 
     cpus: float = math.inf
@@ -246,7 +248,8 @@
     room.cards -= count * want.cards
 
 
-class Victim(msgspec.Struct):
+@dataclass(slots=True)
+class Victim:
     """A running task that may be stopped, and what stopping it loses."""
 
     attempt: int
--- a/src/elmthread/placement/service.py
+++ b/src/elmthread/placement/service.py
@@ -4,10 +4,9 @@
 import math
 from collections import Counter
 from collections.abc import Callable
+from dataclasses import replace
 from datetime import timedelta
 
-from msgspec.structs import replace
-
 from elmthread.common.clock import ZERO, Clock, seconds
 from elmthread.placement.book import Book, Hold, HoldState, Job, JobState, Machine, Stop, entry_size, task_size
 from elmthread.placement.decide import Room, Slot, Victim, Want, fits, place, preempt
--- a/src/elmthread/placement/tests/test_decide.py
+++ b/src/elmthread/placement/tests/test_decide.py
@@ -239,7 +239,7 @@
             looks += name == "images"
             return super().__getattribute__(name)
 
-    counted = [Counted(**{name: getattr(slot, name) for name in Slot.__struct_fields__}) for slot in slots]
+    counted = [Counted(**{name: getattr(slot, name) for name in Slot.__slots__}) for slot in slots]
     placed = place(wants, counted, rooms)
     assert sum(count for _, _, count in placed) > 1000
     assert looks < 300 * 600 / 8, looks
--- a/src/elmthread/sizing/decide.py
+++ b/src/elmthread/sizing/decide.py
@@ -7,10 +7,9 @@
 
 import math
 from collections.abc import Callable, Sequence
+from dataclasses import dataclass
 from enum import Enum, auto
 
-import msgspec
-
 # Machines that cost this many times the cheapest a core are rented only where no others are left.
 DEAR = 1.6
 # Bounds the judging that cheaper machines take.
@@ -37,14 +36,16 @@
     return Band.STAY
 
 
-class Supply(msgspec.Struct, frozen=True):
+@dataclass(slots=True, frozen=True)
+class Supply:
     """Cores that serve deferrable work from a time on."""
 
     start: float
     cores: float
 
 
-class Group(msgspec.Struct):
+@dataclass(slots=True)
+class Group:
     """Waiting deferrable tasks with about the same deadline."""
 
     due: float
@@ -53,7 +54,8 @@
     usable: float  # cores that its tasks, within their teams' limits, can use at once
 
 
-class Offer(msgspec.Struct, frozen=True):
+@dataclass(slots=True, frozen=True)
+class Offer:
     """A kind of machine that can be rented, as far as is known."""
 
     build: str
@@ -226,7 +228,8 @@
     return kept
 
 
-class Line(msgspec.Struct, frozen=True):
+@dataclass(slots=True, frozen=True)
+class Line:
     """A job in its team's line: core-seconds left, the soonest it can end, and its deadline."""
 
     job: str
--- a/src/elmthread/sizing/service.py
+++ b/src/elmthread/sizing/service.py
@@ -4,11 +4,10 @@
 import math
 from collections import Counter, deque
 from collections.abc import Callable
+from dataclasses import replace
 from datetime import timedelta
 from typing import Any
 
-from msgspec.structs import replace
-
 from elmthread.common.clock import Clock, seconds
 from elmthread.fleet.service import Fleet, Kind
 from elmthread.placement.book import Book, Hold, Job, Machine, MachineState, Stop
--- a/src/elmthread/sizing/services.py
+++ b/src/elmthread/sizing/services.py
@@ -8,10 +8,9 @@
 
 from collections import deque
 from collections.abc import Iterable, Sequence
+from dataclasses import replace
 from datetime import timedelta
 
-from msgspec.structs import replace
-
 from elmthread.common.clock import seconds
 from elmthread.placement.decide import TINY, Room, Slot, Want, allowed, place
 from elmthread.sizing.decide import Offer
