--- a/src/elmthread/common/http.py
+++ b/src/elmthread/common/http.py
@@ -21,8 +21,6 @@
 MAX_BODY = 64 * 1024
 MAX_HEAD = 16 * 1024
 READ_SIZE = 64 * 1024
-# Connections that the system completes while the loop is busy: a whole fleet may come at once.
-BACKLOG = 512
 # A client that stays silent in the middle of a request, or idle between two, is cut off.
 REQUEST_TIME = seconds(10)
 IDLE_TIME = seconds(75)
@@ -110,7 +108,10 @@
     _server: asyncio.Server | None = None
 
     async def start(self, host: str, port: int) -> int:
-        self._server = await asyncio.start_server(self._serve, host, port, limit=READ_SIZE, backlog=BACKLOG)
+        # A whole fleet may come at once while the loop is busy: as many may wait as may be open.
+        self._server = await asyncio.start_server(
+            self._serve, host, port, limit=READ_SIZE, backlog=self.max_connections
+        )
         return int(self._server.sockets[0].getsockname()[1])
 
     async def sweep(self) -> None:
