--- a/src/elmthread/cli.py
+++ b/src/elmthread/cli.py
@@ -1,4 +1,4 @@
-"""The command line: serve, check, and a user's submit, status and cancel."""
+"""The command line: serve, check, rollout status, and a user's submit, status and cancel."""
 
 import argparse
 import asyncio
@@ -21,7 +21,12 @@
     top.add_argument("--version", action="version", version=f"elmthread {__version__}")
     verbs = top.add_subparsers(dest="verb", required=True)
     for verb, text in (("serve", "run a controller"), ("check", "check the settings without starting")):
-        sub = verbs.add_parser(verb, help=text)
+        verbs.add_parser(verb, help=text)
+    rollout = verbs.add_parser("rollout", help="tell how far an upgrade of all controllers is")
+    rollout_status = rollout.add_subparsers(dest="action", required=True).add_parser(
+        "status", help="tell each controller's levels, the active level and what it waits for"
+    )
+    for sub in (verbs.choices["serve"], verbs.choices["check"], rollout_status):
         sub.add_argument("--config", type=Path, required=True, metavar="FILE", help="the platform's file (TOML)")
         sub.add_argument("--operators", type=Path, metavar="FILE", help="the operators' own settings (TOML)")
     submit = verbs.add_parser("submit", help="submit a job")
@@ -53,7 +58,7 @@
 def main(argv: list[str] | None = None) -> int:
     args = parser().parse_args(argv)
     logs.set_up()
-    if args.verb in ("serve", "check"):
+    if args.verb in ("serve", "check", "rollout"):
         try:
             facts = platform.load(args.config)
             own = operators.load(args.operators)
@@ -63,6 +68,10 @@
         if args.verb == "check":
             print(f"{args.config}: good")
             return OK
+        if args.verb == "rollout":
+            from elmthread.rollout import command as rollout_command
+
+            return rollout_command.run(facts, own.rollout)
         # Only a controller that really starts pays for loading the rest.
         from elmthread.controller import Controller
 
--- a/src/elmthread/controller.py
+++ b/src/elmthread/controller.py
@@ -5,6 +5,8 @@
 from collections.abc import Callable
 from datetime import timedelta
 
+import msgspec
+
 from elmthread.agents.messages import BEAT
 from elmthread.agents.reach import Reach
 from elmthread.agents.service import Agents
@@ -27,6 +29,9 @@
 from elmthread.peers.messages import Ask, Lead, Reply
 from elmthread.placement.book import Book, Job
 from elmthread.placement.service import Placement
+from elmthread.rollout.features import SUPPORTED, ActiveFeatures, Feature, SupportedLevels
+from elmthread.rollout.gate import CompatibilityGate, IncompatibleLevelError, Membership
+from elmthread.rollout.term import RolloutContext, TermRollout
 from elmthread.settings.operators import Operators
 from elmthread.settings.platform import Platform, split_address
 from elmthread.sizing.service import Sizing
@@ -91,7 +96,9 @@
         may_be_alone: Callable[[], bool],
         gave_way_alone: Callable[[], None],
         token: int,
+        rollout: RolloutContext,
     ) -> None:
+        self._rollout = rollout
         self._reach = reach
         self._may_be_alone = may_be_alone
         self._gave_way_alone = gave_way_alone
@@ -103,7 +110,7 @@
         self._clock = clock
         self.token = token
         facts = platform.facts
-        self._jobs = Jobs(facts, operators)
+        self._jobs = Jobs(facts, operators, rollout.features)
         self._attempts = token * ATTEMPTS
         self._rentals = 0
         store = facts.state.kept()
@@ -147,6 +154,7 @@
             users_at_once(platform),
             facts.workers.cancel,
             self.fleet.empty_by,
+            rollout.features,
         )
         self.agents = Agents(
             self.book,
@@ -208,6 +216,7 @@
     # Running
 
     async def run(self) -> None:
+        rollout = TermRollout(self._rollout, self._state, self.writer, self._clock, self.token)
         loader = Loader(
             self._state,
             self._slots,
@@ -217,6 +226,8 @@
             self._clock,
             self.fleet.set_types,
             self.intake.finished,
+            rollout,
+            self._rollout.supported,
         )
         await loader.load()
         self.loaded = True
@@ -227,6 +238,7 @@
             group.create_task(self._place())
             group.create_task(self._size())
             group.create_task(self._watch_reach())
+            group.create_task(rollout.run())
 
     async def _place(self) -> None:
         """A round after each change, though not too often: rounds gather what came meanwhile."""
@@ -302,7 +314,9 @@
         state: Caller | None = None,
         cloud: Caller | None = None,
         peers: type[Peers] = Peers,
+        supported: SupportedLevels = SUPPORTED,
     ) -> None:
+        """`supported` are the compatibility levels of this program; tests stand in for other versions."""
         self._platform = platform
         self._operators = operators
         self._clock = clock
@@ -312,8 +326,20 @@
         self._requests = Bucket(self._store_rps * OTHERS_PART, self._store_rps * OTHERS_PART, clock)
         self._state = StateClient(state or Client(platform.endpoints.state), self._requests)
         self._cloud = cloud or Client(platform.endpoints.cloud)
+        members = frozenset({platform.node, *(other.node for other in platform.others)})
+        gate = CompatibilityGate(
+            Membership(platform.node, members), supported, operators.rollout, self._state, self._refused
+        )
+        self.rollout = RolloutContext(members, supported, operators.rollout, gate, ActiveFeatures())
         self.election = Election(
-            platform.node, self._state, clock, LEASE, holding_time(platform), self._won, self._lost
+            platform.node,
+            self._state,
+            clock,
+            LEASE,
+            holding_time(platform),
+            self._won,
+            self._lost,
+            gate.wait_admitted,
         )
         links = {other.node: split_address(other.address) for other in platform.others}
         self.peers = peers(
@@ -325,7 +351,17 @@
         )
         self.load = Load(clock)
         self.reach = Reach(clock, facts.workers.lease * QUIET)
-        self.api = Api(platform.node, self.election, self.peers, clock, self._intake, self._beat, self.load)
+        self.rollout.features.on_change(self.peers.tell)
+        self.api = Api(
+            platform.node,
+            self.election,
+            self.peers,
+            clock,
+            self._intake,
+            self._beat,
+            self.load,
+            lambda: gate.admitted,
+        )
         most = max(10, int(facts.limits.max_connections * SERVERS_PART))
         workers = Crowd(BEAT, max(5, int(most * WORKERS_PART)), facts.workers.lease)
         self.server = Server(self.api.handle, most, clock, workers)
@@ -347,6 +383,7 @@
             self._may_be_alone,
             self._gave_way_alone,
             token,
+            self.rollout,
         )
         self._leading = asyncio.get_running_loop().create_task(self._lead(self.leader))
         self.peers.tell()
@@ -390,12 +427,19 @@
             await leader.run()
         except asyncio.CancelledError:
             raise
+        except IncompatibleLevelError:
+            # The gate has told why, and has given up leadership.
+            pass
         except Exception:
             # A fault in one leader's work: another, with a view built anew, may fare better.
             log.exception("the leader's work has failed")
             self.election.rest()
             leader.term.step_down("a fault")
 
+    def _refused(self) -> None:
+        """This process can't read what others may write by now."""
+        self.election.step_down("the active level is not known here")
+
     def _lost(self) -> None:
         self._requests.rate = self._requests.burst = self._store_rps * OTHERS_PART
         if self.leader is not None:
@@ -421,16 +465,35 @@
     def hear(self, lead: Lead) -> None:
         """What another node says about who leads and who comes to it."""
         self.election.hear(lead.token, lead.leader)
+        if lead.level is not msgspec.UNSET:
+            self._hear_level(lead.level)
         if lead.node:
             self.reach.hear(lead.node, lead.strays, lead.some, lead.token, lead.machines)
 
+    def _hear_level(self, level: int) -> None:
+        try:
+            self.rollout.gate.check(level)
+        except IncompatibleLevelError:
+            return
+        self.rollout.features.learn(level)
+
     async def _answer(self, ask: Ask) -> Reply:
         return await self.api.answer(ask)
 
     def _say(self) -> Lead:
         token = self.election.seen_token
         machines = len(self.leader.book.machines) if self.leader is not None else 0
-        return Lead(self.election.leader, token, self._platform.node, *self.reach.strays(token), machines)
+        lead = Lead(self.election.leader, token, self._platform.node, *self.reach.strays(token), machines)
+        if self.leader is not None and self.rollout.features.is_active(Feature.LEVEL_IN_ANNOUNCEMENTS):
+            lead.level = self.rollout.features.level
+        return lead
+
+    async def coordinate(self) -> None:
+        """All that this node does to take part: announces itself, stands, and asks about newer terms."""
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self.rollout.gate.run())
+            group.create_task(self.election.run())
+            group.create_task(self.look_for_rivals())
 
     async def run(self) -> None:
         platform = self._platform
@@ -440,5 +503,4 @@
             group.create_task(self.load.run())
             group.create_task(self.server.sweep())
             group.create_task(self.peers.run(*split_address(platform.peer_listen)))
-            group.create_task(self.election.run())
-            group.create_task(self.look_for_rivals())
+            group.create_task(self.coordinate())
--- a/src/elmthread/intake/api.py
+++ b/src/elmthread/intake/api.py
@@ -48,7 +48,10 @@
         intake: Callable[[], Intake | None],
         beat: Beat,
         load: Load,
+        admitted: Callable[[], bool] = lambda: True,
     ) -> None:
+        """`admitted` says whether this process may serve at all."""
+        self._admitted = admitted
         self._load = load
         self._node = node
         self._election = election
@@ -75,6 +78,8 @@
         return Response(404, {"error": "no such path"})
 
     def _ready(self) -> Response:
+        if not self._admitted():
+            return again(503, SOON, "not admitted")
         leader = self._election.leader
         now = self._clock()
         if self._intake() is not None or (leader is not None and self._peers.reaches(leader)):
@@ -104,6 +109,8 @@
         return await self._ask(Ask(0, verb, job_id))
 
     async def _ask(self, ask: Ask) -> Response:
+        if not self._admitted():
+            return self._elsewhere("not admitted")
         if self._load.refuses(KINDS[ask.verb]):
             return TOO_MUCH
         if self._intake() is not None:
--- a/src/elmthread/intake/jobs.py
+++ b/src/elmthread/intake/jobs.py
@@ -8,20 +8,23 @@
 from elmthread.fleet.messages import Type
 from elmthread.intake.messages import DAEMON, Submission
 from elmthread.ledger.log import slot_bytes, text_of, weight
-from elmthread.ledger.records import chunk_tasks, job_key, job_record
+from elmthread.ledger.records import bitmap_chunk_tasks, chunk_tasks, job_key, job_record
 from elmthread.placement.book import Job
 from elmthread.placement.decide import Want
 from elmthread.placement.service import may_ever_run
+from elmthread.rollout.features import ActiveFeatures, Feature
 from elmthread.settings.operators import Operators
 from elmthread.settings.platform import Facts
 
 
 class Jobs:
-    def __init__(self, facts: Facts, operators: Operators) -> None:
+    def __init__(self, facts: Facts, operators: Operators, features: ActiveFeatures) -> None:
+        self._features = features
         self._operators = operators
         self._teams = {team.name: team for team in facts.teams}
         value_kb = facts.state.kept().value_kb
         self._chunk = chunk_tasks(value_kb)
+        self._bitmap_chunk = bitmap_chunk_tasks(value_kb)
         self._most_record = slot_bytes(value_kb)
         # What is wanted of each class: the soonest bound, and how much later the last one is.
         self._within: dict[str, list[float]] = {}
@@ -66,7 +69,7 @@
             slack,
             # Replicas have no end to be late with: they are urgent whatever the operators say.
             spec.form == DAEMON or self._operators.urgent(fields),
-            self._chunk,
+            self._bitmap_chunk if self._features.is_active(Feature.DONE_BITMAPS) else self._chunk,
         )
 
     def can_run(self, spec: Submission, kinds: Iterable[Type]) -> str | None:
--- a/src/elmthread/intake/service.py
+++ b/src/elmthread/intake/service.py
@@ -14,6 +14,7 @@
 from elmthread.ledger.records import done_key, done_record, job_key, job_record
 from elmthread.ledger.writer import Rank, Stopped, Writer
 from elmthread.placement.book import Book, Job, JobState, Machine
+from elmthread.rollout.features import ActiveFeatures
 
 log = logging.getLogger(__name__)
 
@@ -42,7 +43,9 @@
         most_waiting: int,
         cancel: timedelta,
         empty_by: Callable[[Machine], timedelta],
+        features: ActiveFeatures,
     ) -> None:
+        self._features = features
         self._most_waiting = most_waiting
         self._cancel = cancel
         self._empty_by = empty_by
@@ -212,4 +215,4 @@
             self._writer.write(job_key(job.id), Rank.DONE, self._record(job), stored)
             return
         chunk = task // job.chunk
-        self._writer.write(done_key(job.id, chunk), Rank.DONE, lambda: done_record(job, chunk), durable)
+        self._writer.write(done_key(job.id, chunk), Rank.DONE, lambda: done_record(job, chunk, self._features), durable)
--- a/src/elmthread/intake/tests/test_service.py
+++ b/src/elmthread/intake/tests/test_service.py
@@ -11,6 +11,7 @@
 from elmthread.intake.service import DURABLE_TIME, Intake
 from elmthread.ledger.writer import Rank
 from elmthread.placement.book import Book, Job, JobState
+from elmthread.rollout.features import ActiveFeatures
 from tests.world.loop import SimLoop, play
 from tests.world.world import job as wire
 
@@ -64,6 +65,7 @@
         most,
         seconds(30),
         lambda machine: machine.known_since,
+        ActiveFeatures(),
     )
     return loop, store, lease, one
 
--- a/src/elmthread/leadership/election.py
+++ b/src/elmthread/leadership/election.py
@@ -11,7 +11,7 @@
 import logging
 import random
 import secrets
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from datetime import timedelta
 from enum import Enum, auto
 
@@ -62,7 +62,10 @@
         holding: timedelta,
         won: Callable[[int], None],
         lost: Callable[[], None],
+        wait_admitted: Callable[[], Awaitable[None]] | None = None,
     ) -> None:
+        """`wait_admitted` returns once this process may stand at all."""
+        self._wait_admitted = wait_admitted
         self._node = node
         self._client = client
         self._clock = clock
@@ -152,6 +155,8 @@
 
     async def run(self) -> None:
         while True:
+            if self._wait_admitted is not None:
+                await self._wait_admitted()
             try:
                 await self._round()
             except (Unavailable, Unsure, Expired, Refused, Lost) as error:
--- a/src/elmthread/ledger/loading.py
+++ b/src/elmthread/ledger/loading.py
@@ -19,6 +19,9 @@
 from elmthread.ledger.records import LAYOUT
 from elmthread.ledger.writer import Rank, Writer
 from elmthread.placement.book import Book, HoldState, Job, JobState, Machine, MachineState
+from elmthread.rollout import messages as rollout_messages
+from elmthread.rollout.features import SupportedLevels
+from elmthread.rollout.term import TermRollout
 
 log = logging.getLogger(__name__)
 
@@ -38,7 +41,11 @@
         clock: Clock,
         set_types: Callable[[list[Type]], None],
         finished: Callable[[Job, int, Callable[[], None]], None],
+        rollout: TermRollout,
+        supported: SupportedLevels,
     ) -> None:
+        self._rollout = rollout
+        self._supported = supported
         self._state = state
         self._slots = slots
         self._writer = writer
@@ -51,7 +58,11 @@
 
     async def load(self) -> None:
         """Rebuilds the view: jobs, done tasks, assignments, rentals in doubt, machine types."""
+        level = await self._all(rollout_messages.PREFIX) if self._rollout.enabled else []
         view = self._slots.load((item.key, item.value, item.stamp) for item in await self._all(SLOTS))
+        # Before anything else is read: on a level that is not known here, nothing may be.
+        self._rollout.load(level, view)
+        view.pop(rollout_messages.FENCE_KEY, None)
         if LAYOUT not in view:
             await self._adopt_earlier_layout(view)
         count = 0
@@ -141,7 +152,7 @@
         _, job_id, chunk = key.split("/")
         job = self._book.jobs.get(job_id)
         if job is not None and job.open:
-            records.mark_done(job, int(chunk), msgspec.convert(value, records.DoneRecord))
+            records.mark_done(job, int(chunk), records.read_done(value, self._supported))
         else:
             self._writer.delete(key)
 
--- a/src/elmthread/peers/messages.py
+++ b/src/elmthread/peers/messages.py
@@ -17,6 +17,8 @@
     some: list[tuple[str, int, int]] = []
     # Machines that a leader has, by which the others judge how many strays are many.
     machines: int = 0
+    # The active compatibility level, once it is above the first; earlier versions never meet it.
+    level: int | msgspec.UnsetType = msgspec.UNSET
 
 
 class Ask(msgspec.Struct, tag_field="kind", tag="ask"):
--- /dev/null
+++ b/src/elmthread/rollout/command.py
@@ -0,0 +1,72 @@
+"""`elmthread rollout status`: what each controller has announced and what the level waits for."""
+
+import asyncio
+import sys
+import time
+
+from elmthread.common.clock import steady
+from elmthread.common.http import Client
+from elmthread.ledger.client import Expired, Refused, StateClient, Unavailable, Unsure
+from elmthread.ledger.pacing import Bucket
+from elmthread.rollout.decide import Activate, plan_activation
+from elmthread.rollout.features import REGISTRY, SUPPORTED, SupportedLevels
+from elmthread.rollout.messages import UnreadableLevelError, read_view
+from elmthread.rollout.settings import RolloutSettings
+from elmthread.rollout.store import RolloutRecords, read_records
+from elmthread.rollout.view import Announcement, RolloutView, UnreadableAnnouncement
+from elmthread.settings.platform import Platform
+
+OK, FAILED = 0, 1
+REQUESTS_PER_SECOND = 10.0
+
+
+def run(platform: Platform, settings: RolloutSettings) -> int:
+    """Prints the state of the rollout."""
+    client = StateClient(Client(platform.endpoints.state), Bucket(REQUESTS_PER_SECOND, REQUESTS_PER_SECOND, steady))
+    members = frozenset({platform.node, *(other.node for other in platform.others)})
+    try:
+        records: RolloutRecords = asyncio.run(read_records(client))
+        view = read_view(records.items)
+    except (Unavailable, Unsure, Expired, Refused, UnreadableLevelError) as error:
+        print(f"elmthread: {platform.endpoints.state}: {error}", file=sys.stderr)
+        return FAILED
+    for line in describe(view, members, SUPPORTED, settings, time.time()):
+        print(line)
+    return OK
+
+
+def describe(
+    view: RolloutView, members: frozenset[str], supported: SupportedLevels, settings: RolloutSettings, now: float
+) -> list[str]:
+    """The state of the rollout, line by line."""
+    lines = [f"active level: {view.level}"]
+    for feature, description in REGISTRY.items():
+        state = "active" if description.level <= view.level else "off"
+        lines.append(f"  {feature.name} (level {description.level}): {state}; {description.what}")
+    lines += [_describe_node(node, view.announcements.get(node), now) for node in sorted(members)]
+    strangers = sorted(view.announcements.keys() - members)
+    if strangers:
+        lines.append(f"announced, but not in these settings: {', '.join(strangers)}")
+    plan = plan_activation(view, members, supported)
+    if isinstance(plan, Activate):
+        latest = max(found.announced_at for found in view.announcements.values() if isinstance(found, Announcement))
+        left = max(0.0, latest + settings.soak_s - now)
+        lines.append(
+            f"level {plan.level} may be activated, in about {left:.0f} s or {settings.soak_s:.0f} s "
+            "after the last change of leader, whichever is later"
+        )
+    elif plan.obstacles:
+        lines += [f"level {view.level + 1} waits: {obstacle}" for obstacle in plan.obstacles]
+    else:
+        lines.append("this version knows no higher level")
+    return lines
+
+
+def _describe_node(node: str, found: Announcement | UnreadableAnnouncement | None, now: float) -> str:
+    if found is None:
+        return f"{node}: nothing announced"
+    if isinstance(found, UnreadableAnnouncement):
+        return f"{node}: unreadable announcement: {found.reason}"
+    held = "" if found.hold_at is None else f", holds at {found.hold_at}"
+    age = max(0.0, now - found.announced_at)
+    return f"{node}: levels {found.levels.lowest} to {found.levels.highest}{held}, announced {age:.0f} s ago"
--- /dev/null
+++ b/src/elmthread/rollout/decide.py
@@ -0,0 +1,104 @@
+"""Whether the active level may be raised, and what it waits for; a pure function over a view."""
+
+from collections.abc import Iterator
+from dataclasses import dataclass
+from enum import Enum
+
+from elmthread.rollout.features import SupportedLevels
+from elmthread.rollout.view import Announcement, RolloutView, UnreadableAnnouncement
+
+
+class ObstacleKind(Enum):
+    """Why a node keeps the level from rising."""
+
+    NOT_ANNOUNCED = "has never announced itself: it runs a version that knows no levels, or never ran"
+    UNREADABLE = "has a record that is no announcement"
+    OTHER_MEMBERS = "names other controllers in its settings"
+    OLDER = "runs an older version"
+    NEWER = "runs a version that can't read the active level"
+    HELD = "holds the level by its settings"
+
+
+@dataclass(frozen=True)
+class Obstacle:
+    """One node that the rollout waits for."""
+
+    node: str
+    kind: ObstacleKind
+    detail: str = ""
+
+    def __str__(self) -> str:
+        """For the log and for operators."""
+        return f"{self.node} {self.kind.value}{f' ({self.detail})' if self.detail else ''}"
+
+
+@dataclass(frozen=True)
+class Wait:
+    """The level stays; names every node that keeps it. Nobody: there is nothing to raise it to."""
+
+    obstacles: tuple[Obstacle, ...] = ()
+
+
+@dataclass(frozen=True)
+class Activate:
+    """The level may be raised, if the view's stamps still stand when the transaction is carried out."""
+
+    level: int
+    level_stamp: int
+    # By node.
+    stamps: tuple[tuple[str, int], ...]
+
+
+def plan_activation(view: RolloutView, members: frozenset[str], supported: SupportedLevels) -> Activate | Wait:
+    """Raises the level to the highest that every member can read and write and that nobody holds back."""
+    readable: dict[str, Announcement] = {}
+    unfit: list[Obstacle] = []
+    for node in sorted(members):
+        found = view.announcements.get(node)
+        obstacle = _unfit(node, found, view.level, members)
+        if obstacle is not None:
+            unfit.append(obstacle)
+        elif isinstance(found, Announcement):
+            readable[node] = found
+    if unfit:
+        return Wait((*unfit, *_limits(readable, view.level + 1)))
+    target = min([supported.highest, *map(_highest, readable.values())])
+    if target > view.level:
+        stamps = tuple((node, found.stamp) for node, found in readable.items())
+        return Activate(target, view.level_stamp, stamps)
+    if view.level >= supported.highest:
+        return Wait()
+    return Wait(tuple(_limits(readable, view.level + 1)))
+
+
+def _unfit(
+    node: str, found: Announcement | UnreadableAnnouncement | None, level: int, members: frozenset[str]
+) -> Obstacle | None:
+    """What is wrong with a node's announcement, whatever the level is to be."""
+    if found is None:
+        return Obstacle(node, ObstacleKind.NOT_ANNOUNCED)
+    if isinstance(found, UnreadableAnnouncement):
+        return Obstacle(node, ObstacleKind.UNREADABLE, found.reason)
+    if found.members != members:
+        return Obstacle(node, ObstacleKind.OTHER_MEMBERS, ", ".join(sorted(found.members)))
+    if level not in found.levels:
+        kind = ObstacleKind.NEWER if found.levels.lowest > level else ObstacleKind.OLDER
+        return Obstacle(node, kind, f"levels {found.levels.lowest} to {found.levels.highest}")
+    return None
+
+
+def _highest(announcement: Announcement) -> int:
+    """The highest level that a node allows."""
+    if announcement.hold_at is None:
+        return announcement.levels.highest
+    return min(announcement.levels.highest, announcement.hold_at)
+
+
+def _limits(readable: dict[str, Announcement], wanted: int) -> Iterator[Obstacle]:
+    """Nodes that do not allow the wanted level."""
+    for node, found in readable.items():
+        if found.levels.highest < wanted:
+            detail = f"levels {found.levels.lowest} to {found.levels.highest}"
+            yield Obstacle(node, ObstacleKind.OLDER, detail)
+        elif found.hold_at is not None and found.hold_at < wanted:
+            yield Obstacle(node, ObstacleKind.HELD, f"at {found.hold_at}")
--- /dev/null
+++ b/src/elmthread/rollout/messages.py
@@ -0,0 +1,102 @@
+"""The rollout's records in the state service.
+
+`rollout/nodes/NODE` is a controller's announcement and the only record besides the leader key that a
+follower writes. `rollout/level` is the active level, written by the leader. Versions that know no levels
+read neither prefix. The fence stands among the slots' records under a key that those versions do read,
+in a form that they refuse.
+"""
+
+from collections.abc import Iterable
+from typing import Annotated, Any
+
+import msgspec
+
+from elmthread.ledger.messages import Item
+from elmthread.rollout.features import FIRST_LEVEL, SupportedLevels
+from elmthread.rollout.view import Announcement, RolloutView, UnreadableAnnouncement
+
+PREFIX = "rollout/"
+LEVEL_KEY = f"{PREFIX}level"
+NODES_PREFIX = f"{PREFIX}nodes/"
+FENCE_KEY = "t/compatibility"
+
+Level = Annotated[int, msgspec.Meta(ge=FIRST_LEVEL, le=1_000_000)]
+
+
+class AnnouncementRecord(msgspec.Struct, omit_defaults=True):
+    """The levels of one controller's present process, and whom it takes for members."""
+
+    lowest: Level
+    highest: Level
+    members: list[str]
+    # Tells this process's record from an earlier one with the same content.
+    process: str
+    announced_at: float
+    hold_at: Level | None = None
+
+
+class LevelRecord(msgspec.Struct):
+    """The active level, and the leader's token under which it was raised."""
+
+    level: Level
+    token: int
+
+
+class FenceRecord(msgspec.Struct):
+    """Keeps versions that know no levels from leading on forms that they would misread."""
+
+    level: Level
+
+
+class UnreadableLevelError(Exception):
+    """The record of the active level, or the fence, is malformed: nothing may be concluded from it."""
+
+
+def node_key(node: str) -> str:
+    """Where a controller announces its levels."""
+    return f"{NODES_PREFIX}{node}"
+
+
+def read_level(value: Any) -> LevelRecord:
+    """Raises UnreadableLevelError."""
+    try:
+        return msgspec.convert(value, LevelRecord)
+    except msgspec.ValidationError as error:
+        raise UnreadableLevelError(f"{LEVEL_KEY}: {error}") from error
+
+
+def read_fence(value: Any) -> FenceRecord:
+    """Raises UnreadableLevelError."""
+    try:
+        return msgspec.convert(value, FenceRecord)
+    except msgspec.ValidationError as error:
+        raise UnreadableLevelError(f"{FENCE_KEY}: {error}") from error
+
+
+def read_view(items: Iterable[Item]) -> RolloutView:
+    """The rollout's state from all records under its prefix. Raises UnreadableLevelError."""
+    level, level_stamp = FIRST_LEVEL, 0
+    announcements: dict[str, Announcement | UnreadableAnnouncement] = {}
+    for item in items:
+        if item.key == LEVEL_KEY:
+            level, level_stamp = read_level(item.value).level, item.stamp
+        elif item.key.startswith(NODES_PREFIX):
+            announcements[item.key.removeprefix(NODES_PREFIX)] = _read_announcement(item)
+    return RolloutView(level, level_stamp, announcements)
+
+
+def _read_announcement(item: Item) -> Announcement | UnreadableAnnouncement:
+    try:
+        record = msgspec.convert(item.value, AnnouncementRecord)
+    except msgspec.ValidationError as error:
+        return UnreadableAnnouncement(item.stamp, str(error))
+    if record.lowest > record.highest:
+        return UnreadableAnnouncement(item.stamp, "the lowest level is above the highest")
+    return Announcement(
+        levels=SupportedLevels(record.lowest, record.highest),
+        members=frozenset(record.members),
+        stamp=item.stamp,
+        process=record.process,
+        announced_at=record.announced_at,
+        hold_at=record.hold_at,
+    )
--- /dev/null
+++ b/src/elmthread/rollout/settings.py
@@ -0,0 +1,34 @@
+"""The operators' settings of the rollout."""
+
+import math
+from datetime import timedelta
+
+import msgspec
+
+from elmthread.common.clock import seconds
+from elmthread.rollout.features import FIRST_LEVEL
+
+LONGEST_SOAK_S = 30 * 86400.0
+
+
+class RolloutSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """The table `[rollout]`; without it no level is announced or raised."""
+
+    enabled: bool = False
+    # How long all announcements must have stood before the level is raised.
+    soak_s: float = 600.0
+    # No level above this one is activated while any node says so.
+    hold_at: int | None = None
+
+    @property
+    def soak(self) -> timedelta:
+        """The soak time."""
+        return seconds(self.soak_s)
+
+    def problem(self) -> str | None:
+        """What is wrong with a value, in one line; None where all are good."""
+        if not (math.isfinite(self.soak_s) and 0 <= self.soak_s <= LONGEST_SOAK_S):
+            return f"rollout.soak_s: must be from 0 to {LONGEST_SOAK_S:.0f}, is {self.soak_s}"
+        if self.hold_at is not None and self.hold_at < FIRST_LEVEL:
+            return f"rollout.hold_at: must be {FIRST_LEVEL} or more, is {self.hold_at}"
+        return None
--- /dev/null
+++ b/src/elmthread/rollout/term.py
@@ -0,0 +1,146 @@
+"""The leader's part of a rollout, for one term: reads the active level, raises it, and puts up the fence.
+
+The level is raised by one transaction that compares the leader's token, the record of the level and each
+member's announcement. New forms are written only after that, and only once the fence is durable: a record
+that versions without levels can't read, so none of them leads on forms that it would misread.
+"""
+
+import asyncio
+import logging
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass
+from datetime import timedelta
+from typing import Any
+
+import msgspec
+
+from elmthread.common.clock import Clock, seconds
+from elmthread.ledger import messages as store
+from elmthread.ledger.client import Expired, Lost, Refused, StateClient, Unavailable, Unsure
+from elmthread.ledger.records import LEADER
+from elmthread.ledger.writer import Rank, Writer
+from elmthread.rollout import messages
+from elmthread.rollout.decide import Activate, Obstacle, plan_activation
+from elmthread.rollout.features import FIRST_LEVEL, ActiveFeatures, SupportedLevels
+from elmthread.rollout.gate import CompatibilityGate
+from elmthread.rollout.settings import RolloutSettings
+from elmthread.rollout.store import read_records
+
+log = logging.getLogger(__name__)
+
+RETRY = seconds(1)
+WATCH = seconds(10)
+
+
+@dataclass(frozen=True)
+class RolloutContext:
+    """What a process has of the rollout, whoever leads."""
+
+    members: frozenset[str]
+    supported: SupportedLevels
+    settings: RolloutSettings
+    gate: CompatibilityGate
+    features: ActiveFeatures
+
+
+class TermRollout:
+    """Reads and raises the level under one token."""
+
+    def __init__(self, context: RolloutContext, client: StateClient, writer: Writer, clock: Clock, token: int) -> None:
+        """The level counts as the first until `load`."""
+        self._context = context
+        self._client = client
+        self._writer = writer
+        self._clock = clock
+        self._token = token
+        self._level = FIRST_LEVEL
+        self._fence = FIRST_LEVEL
+        # What is planned, and since when; what was last told of as an obstacle.
+        self._planned: Activate | None = None
+        self._planned_at = clock()
+        self._told: tuple[Obstacle, ...] | None = None
+
+    @property
+    def enabled(self) -> bool:
+        """Whether the level is read and raised. Without that, only the fence says what may be met and written."""
+        return self._context.settings.enabled
+
+    def load(self, items: Iterable[store.Item], records: Mapping[str, Any]) -> None:
+        """Takes in the active level. Raises IncompatibleLevelError and UnreadableLevelError."""
+        if messages.FENCE_KEY in records:
+            self._fence = messages.read_fence(records[messages.FENCE_KEY]).level
+        self._level = max(messages.read_view(items).level, self._fence)
+        self._context.gate.check(self._level)
+        # Forms up to the fence's level may stand in the store, and may be written.
+        self._context.features.learn(self._fence)
+
+    async def run(self) -> None:
+        """Puts up the fence where it is missing, then raises the level as soon as it may be."""
+        if self._fence < self._level:
+            self._put_up_fence()
+        while self.enabled and self._level < self._context.supported.highest:
+            try:
+                await self._look()
+            except (Unavailable, Unsure, Expired, Refused) as error:
+                log.info("compatibility level: %s", error)
+                await asyncio.sleep(RETRY.total_seconds())
+            except messages.UnreadableLevelError as error:
+                log.error("%s", error)
+                await asyncio.sleep(WATCH.total_seconds())
+
+    async def _look(self) -> None:
+        records = await read_records(self._client)
+        view = messages.read_view(records.items)
+        if view.level > self._level:
+            # An earlier transaction of this term, of which no answer came.
+            self._activated(view.level)
+            return
+        plan = plan_activation(view, self._context.members, self._context.supported)
+        pause = WATCH
+        if isinstance(plan, Activate):
+            if plan != self._planned:
+                self._planned, self._planned_at = plan, self._clock()
+                log.info("compatibility level %s: in %s s", plan.level, self._context.settings.soak_s)
+            left = self._planned_at + self._context.settings.soak - self._clock()
+            if left <= timedelta():
+                await self._activate(plan)
+                return
+            pause = min(pause, left)
+        else:
+            self._planned = None
+            self._tell(plan.obstacles)
+        await self._client.watch(messages.PREFIX, records.revision, pause)
+
+    async def _activate(self, plan: Activate) -> None:
+        guards = [store.guard(LEADER, self._token), store.guard(messages.LEVEL_KEY, plan.level_stamp)]
+        guards += [store.guard(messages.node_key(node), stamp) for node, stamp in plan.stamps]
+        record = msgspec.to_builtins(messages.LevelRecord(plan.level, self._token))
+        try:
+            await self._client.commit(guards, [store.put(messages.LEVEL_KEY, record)])
+        except Lost as lost:
+            log.info("compatibility level %s: not raised, as these have changed: %s", plan.level, lost.failed)
+            self._planned = None
+            await asyncio.sleep(RETRY.total_seconds())
+            return
+        self._activated(plan.level)
+
+    def _activated(self, level: int) -> None:
+        self._level = level
+        log.info("compatibility level %s is active", level)
+        self._put_up_fence()
+
+    def _put_up_fence(self) -> None:
+        level = self._level
+
+        def durable() -> None:
+            self._fence = level
+            self._context.features.learn(level)
+
+        self._writer.write(messages.FENCE_KEY, Rank.USER, lambda: messages.FenceRecord(level), durable)
+
+    def _tell(self, obstacles: tuple[Obstacle, ...]) -> None:
+        if obstacles == self._told:
+            return
+        self._told = obstacles
+        for obstacle in obstacles:
+            log.info("compatibility level %s waits: %s", self._level + 1, obstacle)
--- /dev/null
+++ b/src/elmthread/rollout/view.py
@@ -0,0 +1,36 @@
+"""What the state service says of the rollout, as plain values for decisions."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+from elmthread.rollout.features import SupportedLevels
+
+
+@dataclass(frozen=True)
+class Announcement:
+    """What the last process of a node that announced itself can read and write."""
+
+    levels: SupportedLevels
+    members: frozenset[str]
+    stamp: int
+    process: str = ""
+    announced_at: float = 0.0
+    # An operator's wish: no level above this one is to be activated.
+    hold_at: int | None = None
+
+
+@dataclass(frozen=True)
+class UnreadableAnnouncement:
+    """A record under a node's key that is no announcement."""
+
+    stamp: int
+    reason: str
+
+
+@dataclass(frozen=True)
+class RolloutView:
+    """The active level and all announcements, with the stamps by which a transaction compares them."""
+
+    level: int
+    level_stamp: int
+    announcements: Mapping[str, Announcement | UnreadableAnnouncement]
--- a/src/elmthread/settings/operators.py
+++ b/src/elmthread/settings/operators.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from elmthread.common.clock import seconds
+from elmthread.rollout.settings import RolloutSettings
 from elmthread.settings.expressions import BadExpression, Expression
 from elmthread.settings.platform import BadSettings
 
@@ -36,6 +37,7 @@
     theta: float = 0.6
     delta: float = 0.05
     check_s: float = 5.0
+    rollout: RolloutSettings = RolloutSettings()
 
 
 class Operators:
@@ -47,6 +49,10 @@
         self.theta = _number("theta", raw.theta, 0.05, 1.0)
         self.delta = _number("delta", raw.delta, 0.0, 0.5)
         self.check: timedelta = seconds(_number("check_s", raw.check_s, 0.5, 600.0))
+        problem = raw.rollout.problem()
+        if problem is not None:
+            raise BadSettings(problem)
+        self.rollout = raw.rollout
 
     def urgent(self, job: dict[str, Any]) -> bool:
         return bool(self._urgent(job))
--- /dev/null
+++ b/tests/test_staged_rollout.py
@@ -0,0 +1,612 @@
+"""A staged rollout in the simulated world: off until every controller has it, then on once for all."""
+
+import asyncio
+import logging
+from collections.abc import Awaitable, Callable
+from typing import Any
+from unittest import mock
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from elmthread.ledger import messages as store
+from elmthread.rollout import gate as gate_module
+from elmthread.rollout import term as term_module
+from elmthread.rollout.decide import Activate, Wait, plan_activation
+from elmthread.rollout.features import SUPPORTED, ActiveFeatures, Feature
+from elmthread.rollout.gate import CompatibilityGate, GateState
+from elmthread.rollout.settings import RolloutSettings
+from elmthread.rollout.term import TermRollout
+from elmthread.rollout.view import RolloutView
+from tests.test_rollout import fall
+from tests.test_world import HISTORIES, TROUBLES, befall, day, restore
+from tests.world import earlier
+from tests.world.loop import play
+from tests.world.rollouts import (
+    BEFORE,
+    SOAK_S,
+    RolloutMonitor,
+    begin_before,
+    done_in_store,
+    monitored,
+    replace,
+    start,
+    stored_level,
+    until_level,
+)
+from tests.world.world import NEXT, NODES, World, job
+
+Script = Callable[[World, RolloutMonitor], Awaitable[None]]
+
+
+def staged_day(script: Script, before: Callable[[World], None] = begin_before, **more: Any) -> World:
+    """A day that begins with the version before; nothing that the monitor sees may break a promise."""
+
+    async def watched(world: World) -> None:
+        with monitored(world) as monitor:
+            await script(world, monitor)
+        assert monitor.broken == []
+        assert len(monitor.activations) <= 1
+
+    return day(watched, before=before, **more)
+
+
+async def submit_some(world: World, count: int = 4, first: int = 0) -> list[str]:
+    """Jobs of several chunks of done marks and of a single task."""
+    ids = []
+    for number in range(first, first + count):
+        pieces = [1, 40, 300, 7][number % 4]
+        spec = job(number, pieces=pieces, cpus=0.1, ram_gb=0.05, true_s=12.0, each_s=None, expected_s=12.0)
+        if await world.submit(spec):
+            ids.append(spec["name_id"])
+    return ids
+
+
+def test_a_feature_stays_off_until_the_last_node_has_it_and_turns_on_once() -> None:
+    async def script(world: World, monitor: RolloutMonitor) -> None:
+        ids = await submit_some(world)
+        for node in NODES:
+            assert stored_level(world) == 1
+            replace(world, node, SUPPORTED, 1.0)
+            await asyncio.sleep(8)
+            if node != NODES[-1]:
+                # Whoever leads, and whatever it writes: the version before could read it.
+                earlier.read({key: value for key, (value, _, _) in world.store.items.items()})
+        announced = max(value["announced_at"] for key, (value, _, _) in world.store.items.items() if "/nodes/" in key)
+        assert announced > 0
+        await until_level(world, 2)
+        assert len(monitor.activations) == 1
+        for one in world.controllers.values():
+            assert one.rollout.features.is_active(Feature.DONE_BITMAPS)
+        # The version in production reads what stands before the fence, and refuses what stands after it.
+        with pytest.raises(earlier.Unreadable):
+            earlier.read({key: value for key, (value, _, _) in world.store.items.items()})
+        ids += await submit_some(world, 4, 10)
+        await asyncio.sleep(14)
+        assert world.leader is not None
+        world.kill(world.leader.api._node)
+        assert set((await world.until_over(ids, 200)).values()) == {"done"}
+        assert monitor.loads >= 2
+
+    world = staged_day(script)
+    assert max(world.rules.starts.values()) == 1
+
+
+def test_the_level_waits_for_the_soak_time_and_a_new_announcement_starts_it_again() -> None:
+    async def script(world: World, monitor: RolloutMonitor) -> None:
+        for node in NODES:
+            replace(world, node, SUPPORTED, 0.1)
+        await asyncio.sleep(6)
+        assert stored_level(world) == 1
+        follower = next(node for node in NODES if world.leader and node != world.leader.api._node)
+        replace(world, follower, SUPPORTED, 0.1)
+        again = world.loop.now
+        await until_level(world, 2)
+        assert monitor.activations[0] - again >= 10.0
+
+    def before(world: World) -> None:
+        begin_before(world)
+        world.rollout = RolloutSettings(enabled=True, soak_s=10.0)
+
+    staged_day(script, before)
+
+
+def test_a_rollback_halfway_keeps_it_off_and_the_next_try_succeeds() -> None:
+    async def script(world: World, monitor: RolloutMonitor) -> None:
+        ids = await submit_some(world)
+        replace(world, NODES[0], SUPPORTED, 1.0)
+        replace(world, NODES[1], SUPPORTED, 1.0)
+        await asyncio.sleep(5)
+        replace(world, NODES[0], BEFORE, 1.0)
+        replace(world, NODES[2], SUPPORTED, 1.0)
+        await asyncio.sleep(3 * SOAK_S)
+        assert stored_level(world) == 1 and all(one.rollout.gate.admitted for one in world.controllers.values())
+        replace(world, NODES[0], SUPPORTED, 1.0)
+        await until_level(world, 2)
+        assert set((await world.until_over(ids, 200)).values()) == {"done"}
+
+    staged_day(script)
+
+
+def test_an_operators_hold_on_any_node_keeps_it_off_until_it_is_taken_back() -> None:
+    async def script(world: World, monitor: RolloutMonitor) -> None:
+        await asyncio.sleep(3 * SOAK_S)
+        assert stored_level(world) == 1
+        world.rollout = RolloutSettings(enabled=True, soak_s=SOAK_S)
+        replace(world, NODES[1], SUPPORTED, 0.5)
+        await until_level(world, 2)
+
+    def before(world: World) -> None:
+        world.rollout = RolloutSettings(enabled=True, soak_s=SOAK_S, hold_at=1)
+        real = world.start
+
+        def held_on_one_node(node: str) -> Any:
+            held = world.rollout
+            if node != NODES[1]:
+                world.rollout = RolloutSettings(enabled=True, soak_s=SOAK_S)
+            try:
+                return real(node)
+            finally:
+                world.rollout = held
+
+        world.start = held_on_one_node  # type: ignore[method-assign]
+
+    staged_day(script, before)
+
+
+def test_a_node_that_was_down_during_the_rollout_counts_as_old_until_it_returns_new() -> None:
+    async def script(world: World, monitor: RolloutMonitor) -> None:
+        ids = await submit_some(world)
+        world.kill(NODES[2])
+        for node in NODES[:2]:
+            replace(world, node, SUPPORTED, 1.0)
+        await asyncio.sleep(4 * SOAK_S)
+        assert stored_level(world) == 1
+        # Back with the version before: served by, as ever.
+        start(world, NODES[2])
+        await asyncio.sleep(6)
+        assert world.controllers[NODES[2]].rollout.gate.admitted and stored_level(world) == 1
+        replace(world, NODES[2], SUPPORTED, 1.0)
+        await until_level(world, 2)
+        assert set((await world.until_over(ids, 200)).values()) == {"done"}
+
+    staged_day(script)
+
+
+def test_a_version_that_does_not_read_the_active_level_stays_out_and_says_what_to_do(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    async def refused(world: World, node: str) -> None:
+        one = world.controllers[node]
+        assert one.rollout.gate.state is GateState.REFUSED and one.election.role.name == "FOLLOWER"
+        assert (await world.ask("GET", "/ready", node=node)).status == 503
+        answer = await world.ask("GET", "/submissions/run-000000", node=node)
+        assert answer.status == 503 and answer.retry_after is not None and answer.close
+
+    async def watched(world: World) -> None:
+        with monitored(world) as monitor:
+            for node in NODES:
+                replace(world, node, SUPPORTED, 0.5)
+            await until_level(world, 2)
+            ids = await submit_some(world)
+            # The leader itself is rolled back: the others serve on, and nobody works on what it would misread.
+            assert world.leader is not None
+            back = world.leader.api._node
+            replace(world, back, BEFORE, 0.3)
+            await asyncio.sleep(8)
+            await refused(world, back)
+            assert world.leader is not None and world.leader.api._node != back
+            # Alone it does not lead either.
+            for node in NODES:
+                if node != back:
+                    world.kill(node)
+            await asyncio.sleep(40)
+            await refused(world, back)
+            assert world.leader is None
+            for node in NODES:
+                replace(world, node, SUPPORTED, 0.5)
+            assert set((await world.until_over(ids, 200)).values()) == {"done"}
+            assert (await world.ask("GET", "/ready", node=back)).status == 200
+        assert monitor.broken == [] and len(monitor.activations) == 1
+
+    world = World(3)
+    begin_before(world)
+
+    async def main() -> None:
+        world.rent("large", "east")
+        for node in world.nodes:
+            world.start(node)
+        await watched(world)
+
+    with caplog.at_level(logging.ERROR, "elmthread"):
+        play(main(), world.loop)
+    assert world.rules.broken == []
+    told = [record.getMessage() for record in caplog.records]
+    # Told once, not at every try.
+    assert len(told) == 1 and "level 2 is active" in told[0] and "start a version that reads" in told[0]
+
+
+def test_what_an_earlier_process_of_the_node_has_on_its_way_cannot_speak_for_the_present_one() -> None:
+    """New, then old within a fraction of a second: the new one's announcement arrives after the old one's."""
+
+    async def script(world: World, monitor: RolloutMonitor) -> None:
+        for node in NODES[:2]:
+            replace(world, node, SUPPORTED, 0.1)
+        await asyncio.sleep(6)
+        for turn in range(6):
+            replace(world, NODES[2], SUPPORTED, 0.05)
+            await asyncio.sleep(0.052 + 0.004 * turn)
+            # Whatever it has sent by now arrives within six seconds.
+            if NODES[2] in world.controllers:
+                world.ports[NODES[2]][0].trouble.testament = True
+                world.ports[NODES[2]][0].trouble.late = 1.0
+                await asyncio.sleep(0.02)
+                world.kill(NODES[2])
+                world.ports[NODES[2]][0].trouble.testament = True
+            replace(world, NODES[2], BEFORE, 0.05)
+            await asyncio.sleep(1.0)
+            assert world.store.items[f"rollout/nodes/{NODES[2]}"][0]["highest"] == 1
+            await asyncio.sleep(12 + SOAK_S)
+            assert world.store.items[f"rollout/nodes/{NODES[2]}"][0]["highest"] == 1
+            assert stored_level(world) == 1
+
+    staged_day(script)
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_an_activation_without_an_answer_is_found_in_the_store_and_not_repeated(seed: int) -> None:
+    async def script(world: World, monitor: RolloutMonitor) -> None:
+        ids = await submit_some(world)
+        for node in NODES:
+            replace(world, node, SUPPORTED, 0.5)
+        await asyncio.sleep(3)
+        for node in NODES:
+            world.ports[node][0].trouble.lost = 0.6
+        await asyncio.sleep(2 * SOAK_S)
+        for node in NODES:
+            world.ports[node][0].trouble.lost = 0.0
+        await until_level(world, 2)
+        assert set((await world.until_over(ids, 200)).values()) == {"done"}
+
+    staged_day(script, seed=seed)
+
+
+def test_a_leader_that_ends_between_activation_and_fence_leaves_it_to_the_next() -> None:
+    async def script(world: World, monitor: RolloutMonitor) -> None:
+        ended: list[str] = []
+        written = monitor._level_written
+
+        def end_the_leader(before: int, level: int) -> None:
+            written(before, level)
+            node = next(one.api._node for one in world.controllers.values() if one.election.leads())
+            ended.append(node)
+            world.loop.call_soon(world.kill, node)
+
+        monitor._level_written = end_the_leader  # type: ignore[method-assign]
+        for node in NODES:
+            replace(world, node, SUPPORTED, 0.5)
+        while not ended:
+            await asyncio.sleep(0.05)
+        await asyncio.sleep(0.1)
+        # Nothing of the level is in use yet: the store is as the version in production reads it.
+        earlier.read({key: value for key, (value, _, _) in world.store.items.items()})
+        ids = await submit_some(world)
+        start(world, ended[0])
+        await until_level(world, 2)
+        assert set((await world.until_over(ids, 200)).values()) == {"done"}
+
+    staged_day(script)
+
+
+@pytest.mark.parametrize(
+    ("key", "value", "said"),
+    [
+        ("rollout/level", {"level": "two", "token": 1}, "rollout/level"),
+        ("rollout/level", {"level": 0, "token": 1}, "rollout/level"),
+        ("rollout/level", 2, "rollout/level"),
+        ("rollout/level", {"level": 9, "token": 1}, "level 9 is active"),
+    ],
+)
+def test_nothing_is_led_on_a_level_that_cannot_be_read(
+    key: str, value: Any, said: str, caplog: pytest.LogCaptureFixture
+) -> None:
+    world = World()
+    world.rollout = RolloutSettings(enabled=True, soak_s=SOAK_S)
+    world.store.items[key] = (value, 1, None)
+
+    async def main() -> None:
+        for node in world.nodes:
+            world.start(node)
+        await asyncio.sleep(30)
+        assert world.leader is None
+        assert (await world.ask("GET", "/ready")).status == 503
+        # Put right by an operator, it is taken up without a restart.
+        world.store.revision += 1
+        world.store.items[key] = ({"level": 1, "token": 1}, world.store.revision, None)
+        await asyncio.sleep(20)
+        assert world.leader is not None and await world.submit(job(1))
+
+    with caplog.at_level(logging.ERROR, "elmthread"):
+        play(main(), world.loop)
+    assert any(said in record.getMessage() for record in caplog.records)
+
+
+@pytest.mark.parametrize(
+    "value",
+    [
+        "rubbish",
+        {"lowest": 2, "highest": 1, "members": NODES, "process": "x", "announced_at": 1.0},
+        {"lowest": 1, "highest": 2, "process": "x", "announced_at": 1.0},
+        {"lowest": 1, "highest": 2, "members": NODES[:2], "process": "x", "announced_at": 1.0},
+    ],
+)
+def test_an_announcement_that_cannot_be_read_or_names_other_members_counts_as_none(value: Any) -> None:
+    async def script(world: World, monitor: RolloutMonitor) -> None:
+        await asyncio.sleep(1)
+        world.kill(NODES[2])
+        world.store.revision += 1
+        world.store.items[f"rollout/nodes/{NODES[2]}"] = (value, world.store.revision, None)
+        for node in NODES[:2]:
+            replace(world, node, SUPPORTED, 0.5)
+        await asyncio.sleep(4 * SOAK_S)
+        assert stored_level(world) == 1
+        # The node itself sets it right, and comes back new.
+        replace(world, NODES[2], SUPPORTED, 0.5)
+        await until_level(world, 2)
+
+    staged_day(script)
+
+
+def test_a_store_left_by_the_version_without_levels_is_taken_up() -> None:
+    async def script(world: World, monitor: RolloutMonitor) -> None:
+        ids = await submit_some(world)
+        await asyncio.sleep(6)
+        assert not any(key.startswith("rollout/") for key in world.store.items)
+        # The rollout is switched on node by node, with the new version.
+        world.rollout = RolloutSettings(enabled=True, soak_s=SOAK_S)
+        for node in NODES:
+            assert stored_level(world) == 1
+            replace(world, node, SUPPORTED, 1.0)
+            await asyncio.sleep(6)
+        await until_level(world, 2)
+        assert set((await world.until_over(ids, 200)).values()) == {"done"}
+
+    def before(world: World) -> None:
+        world.levels = dict.fromkeys(world.nodes, BEFORE)
+
+    staged_day(script, before)
+
+
+def test_without_the_setting_nothing_is_announced_or_raised_and_an_active_level_is_kept_to() -> None:
+    async def script(world: World, monitor: RolloutMonitor) -> None:
+        await asyncio.sleep(3 * SOAK_S)
+        assert not any(key.startswith("rollout/") for key in world.store.items)
+        world.rollout = RolloutSettings(enabled=True, soak_s=SOAK_S)
+        for node in NODES:
+            replace(world, node, SUPPORTED, 0.5)
+        await until_level(world, 2)
+        ids = await submit_some(world)
+        await asyncio.sleep(14)
+        assert any(done_in_store(world).values())
+        world.rollout = RolloutSettings()
+        for node in NODES:
+            replace(world, node, SUPPORTED, 0.5)
+        await asyncio.sleep(5)
+        assert all(one.rollout.features.level == 2 for one in world.controllers.values() if one.leader)
+        assert set((await world.until_over(ids, 200)).values()) == {"done"}
+
+    staged_day(script, lambda world: None)
+
+
+STEPS = st.lists(
+    st.tuples(
+        st.sampled_from(["new", "new", "new", "before", "before", *TROUBLES]),
+        st.sampled_from(NODES),
+        st.floats(0.05, 9.0),
+    ),
+    min_size=10,
+    max_size=16,
+)
+
+
+async def upgrades_and_rollbacks(
+    world: World, monitor: RolloutMonitor, steps: list[tuple[str, str, float]], falls: float
+) -> None:
+    """Nodes change their version again and again beside every trouble; in the end all are new."""
+    world.loop.call_later(falls, fall, world)
+    ids = await submit_some(world, 6)
+    for kind, node, pause in steps:
+        if kind in ("new", "before"):
+            replace(world, node, SUPPORTED if kind == "new" else BEFORE, world.rng.uniform(0.02, 4.0))
+        else:
+            await befall(world, kind, ids)
+        await asyncio.sleep(pause)
+        for job_id in ids:
+            await world.poll(job_id)
+    restore(world)
+    for node in NODES:
+        if world.levels[node] != SUPPORTED:
+            replace(world, node, SUPPORTED, world.rng.uniform(0.02, 4.0))
+    await asyncio.sleep(5)
+    await until_level(world, 2)
+    ids += await submit_some(world, 3, 20)
+    states = await world.until_over(ids, 400)
+    assert all(state in ("done", "cancelled") for state in states.values()), states
+    await asyncio.sleep(max(0.0, falls - world.loop.now))
+
+
+@settings(HISTORIES, max_examples=30)
+@given(st.integers(0, 10_000), STEPS, st.floats(0.0, 60.0))
+def test_repeated_upgrades_and_rollbacks_beside_all_troubles(
+    number: int, steps: list[tuple[str, str, float]], falls: float
+) -> None:
+    async def script(world: World, monitor: RolloutMonitor) -> None:
+        await upgrades_and_rollbacks(world, monitor, steps, falls)
+
+    def before(world: World) -> None:
+        begin_before(world)
+        world.limits = dict(NEXT)
+
+    staged_day(script, before, seed=number)
+
+
+# Faults: one guard less, or another rule. A day made for each of them shows that a check sees it.
+
+
+def by_majority(view: RolloutView, members: frozenset[str], supported: Any) -> Activate | Wait:
+    """The level rises once most nodes have it."""
+    able = {node for node, one in view.announcements.items() if getattr(one, "levels", BEFORE).highest >= 2}
+    if view.level < 2 and len(able) * 2 > len(members):
+        return Activate(2, view.level_stamp, tuple((node, view.announcements[node].stamp) for node in able))
+    return plan_activation(view, members, supported)
+
+
+class GuardsLeftOut:
+    """The store's messages, but keys of a kind are not compared."""
+
+    def __init__(self, left_out: str) -> None:
+        self._left_out, self.put = left_out, store.put
+
+    def guard(self, key: str, stamp: int) -> dict[str, Any]:
+        """The comparison, of a key that never exists where it is left out."""
+        return store.guard("never", 0) if self._left_out in key else store.guard(key, stamp)
+
+
+async def upgrade_all(world: World) -> None:
+    for node in NODES:
+        replace(world, node, SUPPORTED, 0.2)
+    await until_level(world, 2)
+
+
+async def upgrade_most(world: World) -> None:
+    for node in NODES[:2]:
+        replace(world, node, SUPPORTED, 0.2)
+    await asyncio.sleep(3)
+    # If the version before leads, one of the others does from now on.
+    replace(world, NODES[2], BEFORE, 3.0)
+    await asyncio.sleep(4 * SOAK_S)
+
+
+def announce_before(world: World, node: str) -> dict[str, Any]:
+    """The transaction by which a process of the version before announces itself."""
+    key = f"rollout/nodes/{node}"
+    record = world.store.items[key][0] | {"lowest": 1, "highest": 1, "process": "rolled back"}
+    guards = [store.guard(key, world.store.items[key][1])]
+    if "rollout/level" in world.store.items:
+        guards.append(store.guard("rollout/level", world.store.items["rollout/level"][1]))
+    return {"guards": guards, "then": [store.put(key, record)]}
+
+
+def before_putting(world: World, key: str, call: Callable[[], None]) -> None:
+    """Calls once, right before the first transaction that puts the key is carried out."""
+    transact, called = world.store._transact, False
+
+    def watched(body: Any) -> Any:
+        nonlocal called
+        if not called and any(change.get("put") == key for change in body.get("then", [])):
+            called = True
+            call()
+        return transact(body)
+
+    world.store._transact = watched  # type: ignore[method-assign]
+
+
+async def roll_back_as_the_level_rises(world: World) -> None:
+    def rolled_back() -> None:
+        answer = world.store._transact(announce_before(world, NODES[2]))
+        assert answer.status == 200
+
+    before_putting(world, "rollout/level", rolled_back)
+    for node in NODES:
+        replace(world, node, SUPPORTED, 0.2)
+    await asyncio.sleep(3 * SOAK_S)
+
+
+async def raise_the_level_as_a_process_announces_itself(world: World) -> None:
+    for node in NODES:
+        replace(world, node, SUPPORTED, 0.2)
+    await asyncio.sleep(2)
+
+    def raised() -> None:
+        token = world.store.items["leader"][1]
+        put = store.put("rollout/level", {"level": 2, "token": token})
+        assert world.store._transact({"guards": [], "then": [put]}).status == 200
+
+    before_putting(world, f"rollout/nodes/{NODES[2]}", raised)
+    replace(world, NODES[2], BEFORE, 0.2)
+    await asyncio.sleep(10)
+
+
+async def mark_tasks_done_before_the_upgrade(world: World) -> None:
+    await submit_some(world)
+    await asyncio.sleep(16)
+
+
+async def mark_tasks_done(world: World) -> None:
+    """Upgraded, with a job of which some tasks are done and stored."""
+    await upgrade_all(world)
+    await submit_some(world)
+    await asyncio.sleep(16)
+
+
+async def roll_all_back(world: World) -> None:
+    await mark_tasks_done(world)
+    for node in NODES:
+        replace(world, node, BEFORE, 0.2)
+    await asyncio.sleep(10)
+
+
+def learn_at_once(rollout: TermRollout) -> None:
+    """New forms do not wait for the fence, which is not put up."""
+    rollout._context.features.learn(rollout._level)
+
+
+FAULTS: dict[str, tuple[Callable[[], Any], Callable[[World], Awaitable[None]]]] = {
+    "a majority is enough": (lambda: mock.patch.object(term_module, "plan_activation", by_majority), upgrade_most),
+    "the activation does not compare the announcements": (
+        lambda: mock.patch.object(term_module, "store", GuardsLeftOut("/nodes/")),
+        roll_back_as_the_level_rises,
+    ),
+    "an announcement does not compare the level": (
+        lambda: mock.patch.object(gate_module, "store", GuardsLeftOut("rollout/level")),
+        raise_the_level_as_a_process_announces_itself,
+    ),
+    "new forms do not wait for the level": (
+        lambda: mock.patch.object(ActiveFeatures, "is_active", lambda self, feature: True),
+        mark_tasks_done_before_the_upgrade,
+    ),
+    "new forms do not wait for the fence": (
+        lambda: mock.patch.object(TermRollout, "_put_up_fence", learn_at_once),
+        mark_tasks_done,
+    ),
+    "every process is admitted": (
+        lambda: mock.patch.object(CompatibilityGate, "check", lambda self, level: None),
+        roll_all_back,
+    ),
+}
+
+
+@pytest.mark.parametrize("fault", FAULTS)
+def test_the_checks_see_a_rollout_that_lacks_a_guard(fault: str) -> None:
+    patch, script = FAULTS[fault]
+
+    def seen() -> list[str]:
+        """What the monitor and the rules tell of on that day."""
+        broken: list[str] = []
+
+        async def watched(world: World) -> None:
+            with monitored(world) as monitor:
+                await script(world)
+            broken.extend(monitor.broken)
+
+        try:
+            day(watched, before=begin_before, machines=2)
+        except AssertionError as error:
+            broken.append(str(error))
+        return broken
+
+    # The same day with the guard shows nothing, but for the errors of processes that are rightly refused.
+    assert all("is active, this version reads" in what for what in seen())
+    with patch():
+        assert any("is active, this version reads" not in what for what in seen())
--- /dev/null
+++ b/tests/world/rollouts.py
@@ -0,0 +1,172 @@
+"""Staged rollouts in the simulated world: nodes of several versions, and a monitor of what they may do.
+
+A node with levels 1 to 1 stands for the version before: it announces these levels and reads no form of a
+higher one. The monitor sees each transaction that the state service carries out, at once, late or twice,
+and each view that a leader has loaded; it knows nothing of the code's decisions.
+"""
+
+import asyncio
+import base64
+import json
+from collections.abc import Iterator
+from contextlib import contextmanager
+from functools import partial
+from typing import Any
+from unittest import mock
+
+from bitarray.util import sc_decode
+
+from elmthread.ledger.loading import Loader
+from elmthread.rollout.features import SUPPORTED, SupportedLevels
+from elmthread.rollout.settings import RolloutSettings
+from tests.world.earlier import newest
+from tests.world.world import World
+
+BEFORE = SupportedLevels(1, 1)
+SOAK_S = 4.0
+FENCE = "t/compatibility"
+
+
+def begin_before(world: World) -> None:
+    """All nodes run the version before, with the rollout switched on."""
+    world.rollout = RolloutSettings(enabled=True, soak_s=SOAK_S)
+    world.levels = dict.fromkeys(world.nodes, BEFORE)
+
+
+def start(world: World, node: str) -> None:
+    """Starts a node that is not up."""
+    if node not in world.controllers:
+        world.start(node)
+
+
+def replace(world: World, node: str, levels: SupportedLevels, after: float) -> None:
+    """Ends a node's process; another one comes back, of the version with these levels."""
+    if node in world.controllers:
+        world.kill(node)
+    world.levels[node] = levels
+    world.loop.call_later(after, partial(start, world, node))
+
+
+async def until_level(world: World, level: int, patience: float = 60.0) -> float:
+    """How long it takes until every node knows that the level is active."""
+    began = world.loop.now
+    while any(
+        node not in world.controllers or world.controllers[node].rollout.features.level < level for node in world.nodes
+    ):
+        if world.loop.now - began > patience:
+            raise AssertionError(f"level {level} is not known everywhere after {patience} s")
+        await asyncio.sleep(0.1)
+    return world.loop.now - began
+
+
+def stored_level(world: World) -> int:
+    """The active level as the state service has it."""
+    return int(world.store.items["rollout/level"][0]["level"]) if "rollout/level" in world.store.items else 1
+
+
+def is_new_form(key: str, record: Any) -> bool:
+    """Whether a record is one that only level 2 writes."""
+    if key == FENCE:
+        return True
+    return key.startswith("d/") and record is not None and "bits" in record
+
+
+def done_in_store(world: World) -> dict[str, set[int]]:
+    """Done tasks of open jobs as the store has them, read in the plainest way."""
+    records = newest({key: value for key, (value, _, _) in world.store.items.items()})
+    found: dict[str, set[int]] = {}
+    for key, record in records.items():
+        if not key.startswith("d/"):
+            continue
+        _, job_id, chunk = key.split("/")
+        job = records.get(f"j/{job_id}")
+        if job is None or job["state"] != "open":
+            continue
+        low, marked = int(chunk) * job["chunk"], found.setdefault(job_id, set())
+        if "bits" in record:
+            bits = sc_decode(base64.b64decode(record["bits"]))
+            marked |= {low + n for n, bit in enumerate(bits) if bool(bit) is not record.get("inverted", False)}
+        else:
+            marks = int.from_bytes(bytes.fromhex(record["marks"]), "little")
+            marked |= {low + n for n in range(marks.bit_length()) if marks >> n & 1}
+    return found
+
+
+class RolloutMonitor:
+    """Collects whatever breaks the promises of a staged rollout."""
+
+    def __init__(self, world: World) -> None:
+        """Watches the world's state service from now on."""
+        self._world = world
+        self.broken: list[str] = []
+        self.activations: list[float] = []
+        self.loads = 0
+        self._transact = world.store._transact
+        world.store._transact = self._watched  # type: ignore[method-assign]
+
+    def _break(self, what: str) -> None:
+        self.broken.append(f"{self._world.loop.now:.2f} {what}")
+
+    def _watched(self, body: Any) -> Any:
+        before, fenced = stored_level(self._world), self._fence_stands()
+        answer = self._transact(body)
+        if answer.status != 200:
+            return answer
+        for change in body.get("then", []):
+            if change.get("put", "").startswith("rollout/nodes/") and change["value"]["highest"] < before:
+                self._break(f"{change['put']}: admitted below the active level {before}")
+            if change.get("put") == "rollout/level":
+                self._level_written(before, change["value"]["level"])
+            if change.get("put", "").startswith("s/"):
+                for key, record in json.loads(change["value"]["text"]).items():
+                    if is_new_form(key, record) and before < 2:
+                        self._break(f"{key}: a form of level 2 is written while level {before} is active")
+                    if is_new_form(key, record) and key != FENCE and not fenced:
+                        self._break(f"{key}: a form of level 2 is written before the fence")
+        return answer
+
+    def _fence_stands(self) -> bool:
+        slots = [value["text"] for key, (value, _, _) in self._world.store.items.items() if key.startswith("s/")]
+        return any(f'"{FENCE}"' in text for text in slots)
+
+    def _level_written(self, before: int, level: int) -> None:
+        self.activations.append(self._world.loop.now)
+        if level <= before:
+            self._break(f"the level falls from {before} to {level}")
+        for node in self._world.nodes:
+            key = f"rollout/nodes/{node}"
+            highest = self._world.store.items[key][0]["highest"] if key in self._world.store.items else 1
+            runs = self._world.levels.get(node, SUPPORTED) if node in self._world.controllers else None
+            if highest < level:
+                self._break(f"level {level} is active though {node} announces {highest}")
+            if runs is not None and level not in runs and self._world.controllers[node].rollout.gate.admitted:
+                self._break(f"level {level} is active while {node} serves a version that does not read it")
+
+    def loaded(self, loader: Loader) -> None:
+        """A leader has loaded its view: it must be what the store holds, in whatever form."""
+        self.loads += 1
+        stored, finished = done_in_store(self._world), self._world.rules.finished
+        for job_id, job in loader._book.jobs.items():
+            if not job.open:
+                continue
+            marked = {task for task in range(job.total) if job.is_done(task)}
+            if marked != {task for task in stored.get(job_id, set()) if task < job.total}:
+                self._break(f"{job_id} is misread: {sorted(marked)[:9]} of {sorted(stored.get(job_id, set()))[:9]}")
+            if not {f"{job_id}/{task}" for task in marked} <= finished:
+                self._break(f"{job_id} has tasks marked that have not ended")
+        if stored_level(self._world) not in loader._supported:
+            self._break(f"a view is loaded by a version without level {stored_level(self._world)}")
+
+
+@contextmanager
+def monitored(world: World) -> Iterator[RolloutMonitor]:
+    """A monitor that sees every load of a leader as well."""
+    monitor = RolloutMonitor(world)
+    load = Loader.load
+
+    async def watched(loader: Loader) -> None:
+        await load(loader)
+        monitor.loaded(loader)
+
+    with mock.patch.object(Loader, "load", watched):
+        yield monitor
--- a/tests/world/world.py
+++ b/tests/world/world.py
@@ -15,6 +15,8 @@
 from elmthread.controller import Controller
 from elmthread.peers.link import Peers
 from elmthread.peers.messages import Ask, Reply
+from elmthread.rollout.features import SUPPORTED, SupportedLevels
+from elmthread.rollout.settings import RolloutSettings
 from tests.world.loop import NODE, SimLoop
 from tests.world.rules import Rules
 from tests.world.services import CloudStand, Port, Rented, StateStore, Trouble
@@ -169,6 +171,9 @@
         self.limits: dict[str, float] | None = None
         self.old: set[str] = set()
         self.earlier: str | None = None
+        # The rollout's settings of this version, and levels of nodes that stand for another one.
+        self.rollout = RolloutSettings()
+        self.levels: dict[str, SupportedLevels] = {}
         self.nodes = [f"loom-{number}" for number in range(controllers)]
         self.loop = SimLoop()
         asyncio.set_event_loop(self.loop)
@@ -260,13 +265,16 @@
         state, cloud = self.ports[node]
         limits = None if node in self.old and self.earlier is None else self.limits
         operators = self.code(node, "settings.operators")
+        present = self.earlier is None or node not in self.old
+        of_this_version = {"supported": self.levels.get(node, SUPPORTED)} if present else {}
         controller: Controller = self.code(node, "controller").Controller(
             self.code(node, "settings.platform").parse(settings(node, self.nodes, limits, self.cancel)),
-            operators.Operators(operators.Raw()),
+            operators.Operators(operators.Raw(**({"rollout": self.rollout} if present else {}))),
             lambda: self.loop.clock(self.drift[node]),
             state,
             cloud,
             Links,
+            **of_this_version,
         )
         self.controllers[node] = controller
         self.tasks[node] = self.loop.create_task(self._run(controller), context=context)
@@ -274,9 +282,8 @@
 
     async def _run(self, controller: Controller) -> None:
         async with asyncio.TaskGroup() as group:
-            group.create_task(controller.election.run())
-            if hasattr(controller, "look_for_rivals"):
-                group.create_task(controller.look_for_rivals())
+            # An earlier version has its election alone.
+            group.create_task(getattr(controller, "coordinate", controller.election.run)())
             while True:
                 controller.peers.tell()
                 await asyncio.sleep(1)
