Schemas of all forms, one file a level, checked in tests; production itself in staged rollouts

The files are made from the message types by msgspec without class names and checked with jsonschema, in tests and tools only; level 1 was made from the sources of the version in production. Bitmaps refuse what is not canonical. Seen: services are in level 2's job form and not in level 1's; they keep their own proof (docs/rollout.md).

--- a/src/elmthread/ledger/bitmaps.py
+++ b/src/elmthread/ledger/bitmaps.py
@@ -33,10 +33,13 @@
 
 def expand(bitmap: Bitmap, most: int) -> Iterator[int]:
     """Numbers of the bits that are set. Raises ValueError for what is no bitmap of at most `most` bits."""
+    raw = base64.b64decode(bitmap.text, validate=True)
     try:
-        bits = sc_decode(base64.b64decode(bitmap.text, validate=True))
-    except (StopIteration, TypeError) as error:
-        raise ValueError("not a compressed bitmap") from error
+        bits = sc_decode(raw)
+    except StopIteration as error:
+        raise ValueError("a compressed bitmap that ends too soon") from error
+    if sc_encode(bits) != raw:
+        raise ValueError("a compressed bitmap with something behind it")
     if len(bits) > most:
         raise ValueError(f"a bitmap of {len(bits)} bits where at most {most} may be")
     return bits.search(0 if bitmap.inverted else 1)
--- /dev/null
+++ b/src/elmthread/ledger/tests/test_bitmaps.py
@@ -0,0 +1,50 @@
+"""Compressed bitmaps of done tasks, against the plain bits."""
+
+import base64
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from elmthread.ledger.bitmaps import Bitmap, compress, expand
+from elmthread.ledger.records import MOST_MARKS, bitmap_chunk_tasks, chunk_tasks
+
+
+@settings(max_examples=200, deadline=None, derandomize=True, database=None)
+@given(st.integers(1, MOST_MARKS), st.sampled_from([0.0, 0.02, 0.5, 0.98, 1.0]), st.randoms(use_true_random=False))
+def test_what_is_compressed_is_found_again(count: int, part: float, rng: object) -> None:
+    done = {task for task in range(count) if rng.random() < part}  # type: ignore[attr-defined]
+    marks = bytearray((count + 7) // 8)
+    for task in done:
+        marks[task >> 3] |= 1 << (task & 7)
+    bitmap = compress(bytes(marks), count)
+    assert set(expand(bitmap, MOST_MARKS)) == done
+    # Never much larger than the bits themselves; empty and full ones are small.
+    assert len(bitmap.text) <= (count + 7) // 8 * 4 / 3 + 20
+    if len(done) in (0, count):
+        assert len(bitmap.text) <= 8
+
+
+@pytest.mark.parametrize(
+    "text",
+    ["", "%%%", "AAAA" * 9, base64.b64encode(b"\xff\xff\xff").decode(), base64.b64encode(b"\x01\x10 ").decode()],
+)
+def test_what_is_no_bitmap_is_refused(text: str) -> None:
+    with pytest.raises(ValueError):
+        list(expand(Bitmap(text, False), 64))
+
+
+def test_a_bitmap_of_more_tasks_than_its_chunk_is_refused() -> None:
+    bitmap = compress(bytes(32), 256)
+    with pytest.raises(ValueError, match="256 bits where at most 64"):
+        list(expand(bitmap, 64))
+
+
+@pytest.mark.parametrize("value_kb", [0.7, 1.0, 2.0, 8.0, 16.0])
+def test_a_record_of_marks_takes_a_small_part_of_a_value(value_kb: float) -> None:
+    tasks = bitmap_chunk_tasks(value_kb)
+    assert tasks % 8 == 0 and 8 <= tasks <= MOST_MARKS
+    largest = compress(bytes([0b01010101] * (tasks // 8)), tasks)
+    assert len(largest.text) <= max(24.0, value_kb * 1024 / 8)
+    # In the form of the first level: a hexadecimal digit for four tasks.
+    assert chunk_tasks(value_kb) / 4 <= max(2.0, value_kb * 1024 / 32)
--- a/tests/both.py
+++ b/tests/both.py
@@ -4,8 +4,9 @@
 
 DIR is a checkout of the earlier version. Its controllers run from its own sources, the others
 from these, and each reads what the other stores and says: a day with an upgrade by kills,
-troubles and falling limits, judged by the rules. Not a test of its own: a checkout without
-history has no earlier version. docs/results.md says what was seen.
+troubles and falling limits, judged by the rules; then a day of repeated upgrades and rollbacks with the
+staged rollout switched on. Not a test of its own: a checkout without history has no earlier version.
+docs/results.md says what was seen.
 """
 
 import re
@@ -15,7 +16,7 @@
 from collections import Counter
 from pathlib import Path
 
-from tests import test_rollout
+from tests import test_rollout, test_staged_rollout
 from tests.world.world import World
 
 NAME = "elmthread_earlier"
@@ -45,6 +46,7 @@
         sys.path.insert(0, folder)
         for seed in range(seeds):
             test_rollout.upgraded_day(seed, earlier=NAME)
+            test_staged_rollout.day_beside_an_earlier_version(seed, earlier=NAME)
             print(f"seed {seed}: no rule broken; started so far: {dict(started)}", flush=True)
     return 0
 
--- /dev/null
+++ b/tests/test_schemas.py
@@ -0,0 +1,168 @@
+"""Every stored form and controller message against the schema of its level.
+
+`schemas/level-N.json` says what may be written and sent while level N is active; `tools/schemas.py` writes the
+newest one. A published file never changes, so a form that changes needs a new level.
+"""
+
+import asyncio
+import hashlib
+import json
+from collections.abc import Iterator
+from pathlib import Path
+from typing import Any
+
+import jsonschema
+import msgspec
+import pytest
+
+from elmthread.ledger import records
+from elmthread.peers import messages as peers
+from elmthread.rollout.features import FIRST_LEVEL, SUPPORTED
+from elmthread.rollout.messages import AnnouncementRecord, LevelRecord, read_fence
+from tests.test_world import day
+from tests.world.earlier import newest
+from tests.world.rollouts import begin_before, replace, until_level
+from tests.world.world import World, daemon, job
+from tools.schemas import FORMS, ROLLOUT_FORMS, schemas_of, text_of
+
+ROOT = Path(__file__).resolve().parent.parent
+SAMPLES = ROOT / "tests" / "samples"
+PUBLISHED = {
+    "level-1.json": "1efb99e53feacbeb",
+    "level-2.json": "a8bf30efba6d6e68",
+    "rollout.json": "951481e11b3b2a17",
+}
+KEYS = {"j/": "job", "d/": "done", "m/": "machine", "r/": "rental", "y/": "types", "t/types": "types"}
+KEYS |= {"layout": "layout", "t/compatibility": "fence"}
+
+
+def schemas(name: str) -> dict[str, Any]:
+    loaded: dict[str, Any] = json.loads((ROOT / "schemas" / name).read_text())
+    return loaded
+
+
+def check(level: int, form: str, value: Any) -> None:
+    jsonschema.Draft202012Validator(schemas(f"level-{level}.json")[form]).validate(value)
+
+
+def forms_in(store: dict[str, Any]) -> Iterator[tuple[str, str, Any]]:
+    """Form, key and value of all that stands in the state service."""
+    for key, value in store.items():
+        if key == "leader":
+            yield "leader", key, value
+        elif key.startswith("s/"):
+            yield "slot", key, value
+    for key, value in newest(store).items():
+        yield next(form for prefix, form in KEYS.items() if key.startswith(prefix)), key, value
+
+
+def stored(world: World) -> dict[str, Any]:
+    return {key: value for key, (value, _, _) in world.store.items.items()}
+
+
+def sample(level: int) -> list[dict[str, Any]]:
+    """Form and value of each sample of a level."""
+    found: list[dict[str, Any]] = json.loads((SAMPLES / f"level-{level}.json").read_text())
+    return found
+
+
+def samples_of_production() -> Iterator[tuple[str, Any]]:
+    production = json.loads((SAMPLES / "production.json").read_text())
+    for form, _, value in forms_in({key: value for key, value, _ in production["store"]}):
+        yield form, value
+    for text in production["frames"]:
+        frame = json.loads(text)
+        yield f"message {frame['kind']}", frame
+
+
+def read(form: str, value: Any) -> None:
+    """Reads a sample as this version does."""
+    if form.startswith("message "):
+        peers.decode(msgspec.json.encode(value))
+    elif form == "done":
+        list(records.done_tasks(records.read_done(value, SUPPORTED), records.MOST_MARKS))
+    elif form == "fence":
+        read_fence(value)
+    else:
+        msgspec.convert(value, FORMS[form])
+
+
+def test_the_newest_files_are_those_of_the_code() -> None:
+    """Otherwise a form has changed: it needs a new level, a gate and a file of its own."""
+    assert (ROOT / "schemas" / f"level-{SUPPORTED.highest}.json").read_text() == text_of(schemas_of(FORMS))
+    assert (ROOT / "schemas" / "rollout.json").read_text() == text_of(schemas_of(ROLLOUT_FORMS))
+
+
+def test_published_files_have_not_changed_and_each_level_has_one() -> None:
+    found = {
+        path.name: hashlib.sha256(path.read_bytes()).hexdigest()[:16] for path in (ROOT / "schemas").glob("*.json")
+    }
+    assert found == PUBLISHED
+    assert {f"level-{level}.json" for level in range(FIRST_LEVEL, SUPPORTED.highest + 1)} < set(PUBLISHED)
+
+
+def test_samples_are_of_their_level_and_can_be_read() -> None:
+    seen: set[tuple[int, str]] = set()
+    for form, value in samples_of_production():
+        check(1, form, value)
+        read(form, value)
+        seen.add((1, form))
+    for one in sample(2):
+        check(2, one["form"], one["value"])
+        read(one["form"], one["value"])
+        seen.add((2, one["form"]))
+    assert {form for level, form in seen if level == 2} == set(FORMS) - {"rental"}
+    assert {form for level, form in seen if level == 1} >= set(FORMS) - {"fence", "rental", "layout"}
+
+
+@pytest.mark.parametrize(
+    ("level", "form", "value"),
+    [
+        (1, "done", {"bits": "AAAA"}),
+        (2, "done", {"bits": "AAAA", "marks": "00"}),
+        (2, "done", {"bits": 5}),
+        (1, "job", {"state": "open", "tasks": 3, "colour": "red"}),
+        (1, "message lead", {"kind": "lead", "leader": None, "token": 3, "level": 2}),
+        (2, "machine", {"build": "small", "zone": "east"}),
+    ],
+)
+def test_a_form_of_another_level_is_refused(level: int, form: str, value: Any) -> None:
+    with pytest.raises(jsonschema.ValidationError):
+        check(level, form, value)
+
+
+def test_all_that_is_written_while_a_level_is_active_is_of_that_level(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Looked at all the time through an upgrade: what stands in the store, and each message that is sent."""
+    sent: set[tuple[int, str]] = set()
+
+    async def script(world: World) -> None:
+        async def look(seconds: float) -> None:
+            for _ in range(int(seconds / 0.25)):
+                level = stored(world).get("rollout/level", {"level": 1})["level"]
+                for form, _, value in forms_in(stored(world)):
+                    check(level, form, value)
+                    sent.add((level, form))
+                for one in world.controllers.values():
+                    frame = json.loads(peers.encode(one._say()))
+                    # The leader may know of a level that it has raised a moment ago.
+                    check(level, "message lead", frame)
+                await asyncio.sleep(0.25)
+
+        for number in range(3):
+            assert await world.submit(job(number, pieces=30, cpus=0.2, ram_gb=0.1, true_s=9.0, expected_s=9.0))
+        await look(12)
+        for node in world.nodes:
+            replace(world, node, SUPPORTED, 0.5)
+            await look(4)
+        await until_level(world, 2)
+        assert await world.submit(job(10, pieces=300, cpus=0.1, ram_gb=0.1, true_s=9.0, expected_s=9.0))
+        assert await world.submit(daemon(11))
+        await look(20)
+        for key, value in stored(world).items():
+            if key.startswith("rollout/"):
+                name = "level" if key == "rollout/level" else "announcement"
+                jsonschema.Draft202012Validator(schemas("rollout.json")[name]).validate(value)
+                msgspec.convert(value, LevelRecord if name == "level" else AnnouncementRecord)
+
+    day(script, before=begin_before, machines=6)
+    assert {(1, "done"), (2, "done"), (2, "fence"), (1, "job"), (2, "machine")} <= sent
--- a/tests/test_staged_rollout.py
+++ b/tests/test_staged_rollout.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+import random
 from collections.abc import Awaitable, Callable
 from typing import Any
 from unittest import mock
@@ -451,6 +452,51 @@
     staged_day(script, before, seed=number)
 
 
+def day_beside_an_earlier_version(seed: int, earlier: str) -> None:
+    """Upgrades from, and rollbacks to, a version that knows no levels (`tests/both.py`)."""
+    rng = random.Random(seed)
+
+    async def script(world: World, monitor: RolloutMonitor) -> None:
+        ids = await submit_some(world, 6)
+        for _ in range(12):
+            kind, node = rng.choice(["new", "new", "earlier", *rng.sample(TROUBLES, 2)]), rng.choice(NODES)
+            if kind in ("new", "earlier"):
+                (world.old.discard if kind == "new" else world.old.add)(node)
+                replace(world, node, SUPPORTED, rng.uniform(0.05, 4.0))
+            else:
+                await befall(world, kind, ids)
+            await asyncio.sleep(rng.uniform(0.05, 9.0))
+            for job_id in ids:
+                await world.poll(job_id)
+        restore(world)
+        for node in sorted(world.old):
+            world.old.discard(node)
+            replace(world, node, SUPPORTED, rng.uniform(0.05, 4.0))
+        await asyncio.sleep(5)
+        await until_level(world, 2)
+        ids += await submit_some(world, 3, 20)
+        await asyncio.sleep(14)
+        # Rolled back after the activation: the earlier version does not lead on what it would misread.
+        world.old.update(NODES)
+        for node in NODES:
+            replace(world, node, SUPPORTED, 0.5)
+        for _ in range(60):
+            await asyncio.sleep(0.5)
+            assert not any(one.leader is not None and one.leader.loaded for one in world.controllers.values())
+        world.old.clear()
+        for node in NODES:
+            replace(world, node, SUPPORTED, 0.5)
+        states = await world.until_over(ids, 400)
+        assert all(state in ("done", "cancelled") for state in states.values()), states
+
+    def before(world: World) -> None:
+        begin_before(world)
+        world.levels.clear()
+        world.limits, world.earlier, world.old = dict(NEXT), earlier, set(world.nodes)
+
+    staged_day(script, before, seed=seed)
+
+
 # Faults: one guard less, or another rule. A day made for each of them shows that a check sees it.
 
 
--- a/tests/world/rollouts.py
+++ b/tests/world/rollouts.py
@@ -17,7 +17,7 @@
 from bitarray.util import sc_decode
 
 from elmthread.ledger.loading import Loader
-from elmthread.rollout.features import SUPPORTED, SupportedLevels
+from elmthread.rollout.features import SupportedLevels
 from elmthread.rollout.settings import RolloutSettings
 from tests.world.earlier import newest
 from tests.world.world import World
@@ -136,10 +136,11 @@
         for node in self._world.nodes:
             key = f"rollout/nodes/{node}"
             highest = self._world.store.items[key][0]["highest"] if key in self._world.store.items else 1
-            runs = self._world.levels.get(node, SUPPORTED) if node in self._world.controllers else None
             if highest < level:
                 self._break(f"level {level} is active though {node} announces {highest}")
-            if runs is not None and level not in runs and self._world.controllers[node].rollout.gate.admitted:
+            # A version that knows no levels has none of this: the fence keeps it from leading.
+            rollout = getattr(self._world.controllers.get(node), "rollout", None)
+            if rollout is not None and level not in rollout.supported and rollout.gate.admitted:
                 self._break(f"level {level} is active while {node} serves a version that does not read it")
 
     def loaded(self, loader: Loader) -> None:
--- /dev/null
+++ b/tools/schemas.py
@@ -0,0 +1,86 @@
+"""Writes the JSON schemas of all stored forms and controller messages, one file a compatibility level.
+
+    PYTHONPATH=src:. python -m tools.schemas
+
+writes `schemas/level-N.json` for the newest level and `schemas/rollout.json` for the records of the rollout
+itself. A published file never changes: a form that changes needs a new level (docs/rollout.md).
+"""
+
+import json
+from pathlib import Path
+from types import UnionType
+from typing import Any
+
+import msgspec
+
+from elmthread.fleet.messages import Type
+from elmthread.leadership.election import LeaderRecord
+from elmthread.ledger.log import SlotRecord
+from elmthread.ledger.records import DoneBitmapRecord, DoneRecord, JobRecord, MachineRecord, RentalRecord
+from elmthread.peers.messages import Ask, Lead, Reply
+from elmthread.rollout.features import SUPPORTED
+from elmthread.rollout.messages import AnnouncementRecord, FenceRecord, LevelRecord
+
+FOLDER = Path(__file__).resolve().parent.parent / "schemas"
+# What msgspec takes from the classes.
+CLASS_NAMES = frozenset({"$defs", "title", "description"})
+DIALECT = "https://json-schema.org/draft/2020-12/schema"
+
+# By the name of a form, the type that the code writes and reads it with.
+FORMS: dict[str, Any] = {
+    "leader": LeaderRecord,
+    "slot": SlotRecord,
+    "job": JobRecord,
+    "done": DoneRecord | DoneBitmapRecord,
+    "machine": MachineRecord,
+    "rental": RentalRecord,
+    "types": list[Type],
+    "layout": int,
+    "fence": FenceRecord,
+    "message lead": Lead,
+    "message ask": Ask,
+    "message reply": Reply,
+}
+ROLLOUT_FORMS: dict[str, Any] = {"announcement": AnnouncementRecord, "level": LevelRecord}
+
+
+def schemas_of(forms: dict[str, Any]) -> dict[str, Any]:
+    """One schema a form; a field that a form does not name is no part of it."""
+    return {name: _schema(kind) for name, kind in forms.items()}
+
+
+def _schema(kind: Any) -> dict[str, Any]:
+    members = getattr(kind, "__args__", ()) if isinstance(kind, UnionType) else (kind,)
+    # msgspec has no schema of a union of structs without a tag.
+    parts: list[Any] = [_plain(made, made.get("$defs", {})) for made in map(msgspec.json.schema, members)]
+    schema: dict[str, Any] = parts[0] if len(parts) == 1 else {"anyOf": parts}
+    return {"$schema": DIALECT, **schema}
+
+
+def _plain(schema: Any, definitions: dict[str, Any]) -> Any:
+    """The schema without names of classes, so that renaming one changes nothing, and with closed objects."""
+    if isinstance(schema, list):
+        return [_plain(part, definitions) for part in schema]
+    if not isinstance(schema, dict):
+        return schema
+    if "$ref" in schema:
+        return _plain(definitions[schema["$ref"].removeprefix("#/$defs/")], definitions)
+    plain = {name: _plain(part, definitions) for name, part in schema.items() if name not in CLASS_NAMES}
+    if "properties" in schema and "title" in schema:
+        plain["additionalProperties"] = False
+    return plain
+
+
+def text_of(schemas: dict[str, Any]) -> str:
+    """The file's text."""
+    return json.dumps(schemas, indent=1, sort_keys=True) + "\n"
+
+
+def main() -> None:
+    """Writes the files of the newest level and of the rollout's records."""
+    (FOLDER / f"level-{SUPPORTED.highest}.json").write_text(text_of(schemas_of(FORMS)))
+    (FOLDER / "rollout.json").write_text(text_of(schemas_of(ROLLOUT_FORMS)))
+
+
+if __name__ == "__main__":
+    main()
