Stand-ins on loopback stand in one module; the profile tool uses it

Moved from tools/profile_controller.py to tools/loopback.py, for any number of controllers; a copy of `sent` is gone. A controller's log names the level that it uses.

--- a/src/elmthread/rollout/features.py
+++ b/src/elmthread/rollout/features.py
@@ -5,10 +5,13 @@
 asks `ActiveFeatures.is_active`; it never compares version numbers.
 """
 
+import logging
 from collections.abc import Callable
 from dataclasses import dataclass
 from enum import Enum, auto
 
+log = logging.getLogger(__name__)
+
 # The forms of the versions that know no levels.
 FIRST_LEVEL = 1
 
@@ -97,5 +100,6 @@
         if level <= self._level:
             return
         self._level = level
+        log.info("compatibility level %s is in use here", level)
         for call in self._changed:
             call()
--- /dev/null
+++ b/tools/loopback.py
@@ -0,0 +1,124 @@
+"""The stand-ins of `tests/world` served on loopback, for controllers that run as real processes.
+
+The state service and the cloud answer over HTTP, workers report over HTTP, and the plain model of the rules
+(`tests/world/rules.py`) watches what runs where. Everything listens on 127.0.0.1 only.
+"""
+
+import asyncio
+import random
+from collections import Counter
+from datetime import timedelta
+from typing import Any
+from urllib.parse import urlencode
+
+import cbor2
+
+from elmthread.common.http import Client, NoAnswer, Request, Response, Server, decode
+from tests.world.rules import Rules
+from tests.world.services import CloudStand, Rented, Service, StateStore
+from tests.world.workers import Worker
+from tests.world.world import SETTINGS, TYPES
+
+HOST = "127.0.0.1"
+REPORT_S, LEASE_S, CANCEL_S = 3.0, 12.0, 30.0
+CALL_TIME = timedelta(seconds=4)
+# Connections that a stand-in serves at once.
+MOST_CONNECTIONS = 100
+
+
+class RealLoop(asyncio.SelectorEventLoop):
+    """A loop in real time with the one name that the stand-ins ask a simulated loop for."""
+
+    @property
+    def now(self) -> float:
+        """Seconds on the loop's clock."""
+        return self.time()
+
+
+class StandIns:
+    """State service, cloud and workers around the controllers whose addresses are given by node."""
+
+    def __init__(self, loop: RealLoop, controllers: dict[str, str], machines: int) -> None:
+        """`machines` can be had of every type, zone and kind."""
+        self._loop: Any = loop
+        self._rng = random.Random(1)
+        self.controllers = controllers
+        self.counts: Counter[str] = Counter()
+        self.rules = Rules(self._loop, {"red": 12.0, "blue": float("inf")}, CANCEL_S)
+        self.store = StateStore(self._loop, self._rng, 8, 8 * 1024)
+        capacity = {
+            (kind["name"], zone, spot): machines for kind in TYPES for zone in kind["yards"] for spot in (True, False)
+        }
+        self.cloud = CloudStand(self._loop, self._rng, TYPES, 3.0, capacity)
+        self.cloud.born = self._machine_up
+        self.cloud.ended = self._machine_gone
+        self._workers: dict[str, Worker] = {}
+        self._clients: dict[tuple[str, str], Client] = {}
+        self.store_address = self.cloud_address = ""
+
+    async def start(self) -> None:
+        """Begins to listen."""
+        self.store_address = f"{HOST}:{await self._serve(self.store)}"
+        self.cloud_address = f"{HOST}:{await self._serve(self.cloud)}"
+
+    def settings(self, node: str, peers: dict[str, str], max_connections: int) -> str:
+        """A controller's settings; `peers` are the addresses at which the controllers listen for one another."""
+        others = "".join(
+            f'[[others]]\nnode_name = "{other}"\nsite = "east"\naddress = "{address}"\n'
+            for other, address in peers.items()
+            if other != node
+        )
+        text = SETTINGS.format(node=node, others=others, next="", cancel=CANCEL_S)
+        text = text.replace("10.2.0.2:8443", self.cloud_address).replace("10.2.0.1:2379", self.store_address)
+        text = text.replace('"10.0.0.1:8080"', f'"{self.controllers[node]}"')
+        text = text.replace('"10.0.0.1:8081"', f'"{peers[node]}"')
+        return text.replace("max_connections = 500", f"max_connections = {max_connections}")
+
+    def add_machines(self, count: int, boot_s: float = 0.5) -> None:
+        """Machines of random types and zones come up."""
+        for _ in range(count):
+            kind = self._rng.choice(TYPES)
+            self.cloud.add(kind["name"], self._rng.choice(kind["yards"]), True, boot_s)
+
+    async def _serve(self, service: Service) -> int:
+        async def handle(request: Request) -> Response:
+            path = f"{request.path}?{urlencode(request.query)}" if request.query else request.path
+            self.counts[f"{request.method} {request.path.split('/')[1]}"] += 1
+            if service.down:
+                return Response(503, {"error": "trouble"})
+            answer = await service.serve(request.method, path, decode(request.body) if request.body else None)
+            return Response(answer.status, answer.body)
+
+        return await Server(handle, MOST_CONNECTIONS).start(HOST, 0)
+
+    def _machine_up(self, machine: Rented) -> None:
+        kind = next(kind for kind in TYPES if kind["name"] == machine.build)
+        self._workers[machine.name] = Worker(
+            self._loop,
+            self._rng,
+            self.rules,
+            self._report,
+            list(self.controllers),
+            machine.name,
+            kind,
+            machine.zone,
+            machine.spot,
+            REPORT_S,
+            LEASE_S,
+        )
+
+    def _machine_gone(self, name: str) -> None:
+        worker = self._workers.pop(name, None)
+        self._clients = {key: client for key, client in self._clients.items() if key[0] != name}
+        if worker is not None:
+            worker.gone()
+
+    async def _report(self, name: str, node: str, request: Request) -> Response:
+        client = self._clients.setdefault((name, node), Client(self.controllers[node]))
+        self.counts["reports"] += 1
+        try:
+            answer = await client.call(request.method, request.path, cbor2.loads(request.body), timeout=CALL_TIME)
+        except NoAnswer as error:
+            self.counts["reports without an answer"] += 1
+            raise ConnectionError(str(error)) from error
+        return Response(answer.status, answer.body)
--- a/tools/profile_controller.py
+++ b/tools/profile_controller.py
@@ -12,7 +12,6 @@
 import asyncio
 import os
 import pstats
-import random
 import signal
 import subprocess
 import sys
@@ -20,25 +19,16 @@
 import time
 from collections import Counter
 from dataclasses import dataclass
-from datetime import timedelta
 from pathlib import Path
 from typing import Any
-from urllib.parse import urlencode
 
-import cbor2
-
-from elmthread.common.http import Client, NoAnswer, Request, Response, Server, decode
-from tests.world.rules import Rules
-from tests.world.services import CloudStand, Rented, Service, StateStore
-from tests.world.workers import Worker
-from tests.world.world import SETTINGS, TYPES, job
+from elmthread.common.http import Client, NoAnswer
+from tests.world.world import job, sent
+from tools.loopback import CALL_TIME, HOST, RealLoop, StandIns
 
 ROOT = Path(__file__).resolve().parent.parent
-HOST = "127.0.0.1"
 NODE = "loom-0"
-REPORT_S, LEASE_S, CANCEL_S = 3.0, 12.0, 30.0
 TICKS = os.sysconf("SC_CLK_TCK")
-CALL_TIME = timedelta(seconds=4)
 READY_TIME = 60.0
 # Tasks of each job, and how long one runs.
 TASKS, TASK_S = 40, 20.0
@@ -65,15 +55,6 @@
 )
 
 
-class RealLoop(asyncio.SelectorEventLoop):
-    """A loop in real time with the one name that the stand-ins ask a simulated loop for."""
-
-    @property
-    def now(self) -> float:
-        """Seconds on the loop's clock."""
-        return self.time()
-
-
 @dataclass
 class Phase:
     """What one phase took, and what was asked of the controller in it."""
@@ -131,21 +112,10 @@
 
     def __init__(self, loop: RealLoop, machines: int, jobs: int, output: Path | None) -> None:
         """`output` is where profiles go, None for figures without them."""
-        self._loop: Any = loop
         self._machines, self._jobs, self._output = machines, jobs, output
-        self._rng = random.Random(1)
-        self._rules = Rules(self._loop, {"red": 12.0, "blue": float("inf")}, CANCEL_S)
-        self._store = StateStore(self._loop, self._rng, 8, 8 * 1024)
-        capacity = {
-            (kind["name"], zone, spot): machines for kind in TYPES for zone in kind["yards"] for spot in (True, False)
-        }
-        self._cloud = CloudStand(self._loop, self._rng, TYPES, 3.0, capacity)
-        self._cloud.born = self._machine_up
-        self._cloud.ended = self._machine_gone
-        self._workers: dict[str, Worker] = {}
-        self._clients: dict[str, Client] = {}
-        self._counts: Counter[str] = Counter()
         self._address = f"{HOST}:18080"
+        self._stand_ins = StandIns(loop, {NODE: self._address}, machines)
+        self._counts = self._stand_ins.counts
         self._user = Client(self._address, most_idle=16)
         self._next_job = 1
         self.phases: list[tuple[Phase, Path | None]] = []
@@ -174,26 +144,11 @@
         return ControllerProcess(settings, output)
 
     async def _serve(self, folder: Path) -> Path:
-        store, cloud = await self._serve_one(self._store), await self._serve_one(self._cloud)
-        text = SETTINGS.format(node=NODE, others="", next="", cancel=CANCEL_S)
-        text = text.replace("10.2.0.2:8443", f"{HOST}:{cloud}").replace("10.2.0.1:2379", f"{HOST}:{store}")
-        text = text.replace("10.0.0.1:8080", self._address).replace("10.0.0.1:8081", f"{HOST}:18081")
-        text = text.replace("max_connections = 500", f"max_connections = {self._machines * 3}")
+        await self._stand_ins.start()
         settings = folder / "settings.toml"
-        settings.write_text(text)
+        settings.write_text(self._stand_ins.settings(NODE, {NODE: f"{HOST}:18081"}, self._machines * 3))
         return settings
 
-    async def _serve_one(self, service: Service) -> int:
-        async def handle(request: Request) -> Response:
-            path = f"{request.path}?{urlencode(request.query)}" if request.query else request.path
-            self._counts[f"{request.method} {request.path.split('/')[1]}"] += 1
-            if service.down:
-                return Response(503, {"error": "trouble"})
-            answer = await service.serve(request.method, path, decode(request.body) if request.body else None)
-            return Response(answer.status, answer.body)
-
-        return await Server(handle, 100).start(HOST, 0)
-
     async def _phase(self, controller: ControllerProcess, name: str, work: Any) -> None:
         self._counts.clear()
         began, cpu = time.monotonic(), controller.cpu_s()
@@ -218,22 +173,19 @@
     async def _opening(self) -> None:
         """Half of the jobs wait when all machines come up; the others come while they start."""
         await self._submit(self._jobs // 2, 5.0)
-        for _ in range(self._machines):
-            kind = self._rng.choice(TYPES)
-            self._cloud.add(kind["name"], self._rng.choice(kind["yards"]), True, 0.5)
+        self._stand_ins.add_machines(self._machines)
         await self._submit(self._jobs // 2, 5.0)
 
     async def _submit(self, jobs: int, over_s: float) -> None:
         for _ in range(jobs):
             spec = job(self._next_job, pieces=TASKS, expected_s=TASK_S, true_s=TASK_S)
             self._next_job += 1
-            self._rules.submitted(spec)
+            self._stand_ins.rules.submitted(spec)
             asyncio.get_running_loop().create_task(self._follow(spec))
             await asyncio.sleep(over_s / jobs)
 
     async def _follow(self, spec: dict[str, Any]) -> None:
-        body = {name: value for name, value in spec.items() if name != "true_s"}
-        await self._ask("POST", "/submissions", body)
+        await self._ask("POST", "/submissions", sent(spec))
         for _ in range(100):
             await asyncio.sleep(5)
             await self._ask("GET", f"/submissions/{spec['name_id']}", None)
@@ -246,43 +198,9 @@
             self._counts["users without an answer"] += 1
 
     async def _outage(self) -> None:
-        self._store.outage(True)
+        self._stand_ins.store.outage(True)
         await asyncio.sleep(OUTAGE_S)
-        self._store.outage(False)
-
-    # Workers
-
-    def _machine_up(self, machine: Rented) -> None:
-        kind = next(kind for kind in TYPES if kind["name"] == machine.build)
-        self._workers[machine.name] = Worker(
-            self._loop,
-            self._rng,
-            self._rules,
-            self._report,
-            [NODE],
-            machine.name,
-            kind,
-            machine.zone,
-            machine.spot,
-            REPORT_S,
-            LEASE_S,
-        )
-
-    def _machine_gone(self, name: str) -> None:
-        worker = self._workers.pop(name, None)
-        self._clients.pop(name, None)
-        if worker is not None:
-            worker.gone()
-
-    async def _report(self, name: str, node: str, request: Request) -> Response:
-        client = self._clients.setdefault(name, Client(self._address))
-        self._counts["reports"] += 1
-        try:
-            answer = await client.call(request.method, request.path, cbor2.loads(request.body), timeout=CALL_TIME)
-        except NoAnswer as error:
-            self._counts["reports without an answer"] += 1
-            raise ConnectionError(str(error)) from error
-        return Response(answer.status, answer.body)
+        self._stand_ins.store.outage(False)
 
 
 def duty_of(path: str) -> str | None:
