--- /dev/null
+++ b/tests/test_real_rollout.py
@@ -0,0 +1,25 @@
+"""Three real controllers on loopback, upgraded one by one with jobs running; one is rolled back after it."""
+
+import asyncio
+from pathlib import Path
+
+from tools.loopback import RealLoop
+from tools.upgrade_cluster import NODES, Options, Upgrade
+
+
+def test_real_controllers_are_upgraded_with_jobs_running_and_a_rollback_is_refused(tmp_path: Path) -> None:
+    loop = RealLoop()
+    asyncio.set_event_loop(loop)
+    upgrade = Upgrade(loop, tmp_path, Options(earlier=None, gate=True, soak_s=2.0))
+    loop.run_until_complete(upgrade.run())
+    assert upgrade.stand_ins.rules.broken == []
+    assert upgrade.level() == 2
+    told = [what for _, what in upgrade.happened]
+    assert f"{NODES[0]}, rolled back, answers /ready with 503" in told
+    assert f"{NODES[0]}, new again, answers /ready with 200" in told
+    refusals = [line for _, line in upgrade.nodes[NODES[0]].lines if "it does not take part" in line]
+    assert len(refusals) == 1 and refusals[0].startswith("ERROR")
+    # Every user was answered in the end, and hardly anything was started again for the upgrade.
+    assert all(waits.counts["submissions given up"] == 0 for waits in upgrade.waits.values())
+    starts = upgrade.stand_ins.rules.starts
+    assert sum(starts.values()) < 1.1 * len(starts)
--- /dev/null
+++ b/tests/world/version_before.py
@@ -0,0 +1,30 @@
+"""A controller of the version before: it announces the first level alone, and reads no form of another.
+
+    python -m tests.world.version_before --config FILE [--operators FILE]
+
+For runs with real processes where no checkout of an earlier version is at hand.
+"""
+
+import argparse
+import asyncio
+from pathlib import Path
+
+from elmthread.common import logs
+from elmthread.controller import Controller
+from elmthread.settings import operators, platform
+from tests.world.rollouts import BEFORE
+
+
+def main() -> None:
+    """Runs it until it is ended."""
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--config", type=Path, required=True)
+    parser.add_argument("--operators", type=Path)
+    options = parser.parse_args()
+    logs.set_up()
+    controller = Controller(platform.load(options.config), operators.load(options.operators), supported=BEFORE)
+    asyncio.run(controller.run())
+
+
+if __name__ == "__main__":
+    main()
--- a/tools/loopback.py
+++ b/tools/loopback.py
@@ -6,7 +6,9 @@
 
 import asyncio
 import random
+import socket
 from collections import Counter
+from contextlib import ExitStack
 from datetime import timedelta
 from typing import Any
 from urllib.parse import urlencode
@@ -26,6 +28,15 @@
 MOST_CONNECTIONS = 100
 
 
+def free_ports(count: int) -> list[int]:
+    """Ports on which nothing listens now, for processes that are to be started."""
+    with ExitStack() as stack:
+        sockets = [stack.enter_context(socket.socket()) for _ in range(count)]
+        for one in sockets:
+            one.bind((HOST, 0))
+        return [one.getsockname()[1] for one in sockets]
+
+
 class RealLoop(asyncio.SelectorEventLoop):
     """A loop in real time with the one name that the stand-ins ask a simulated loop for."""
 
--- /dev/null
+++ b/tools/upgrade_cluster.py
@@ -0,0 +1,336 @@
+"""Upgrades three controllers on loopback, with jobs running, and measures what users notice.
+
+    PYTHONPATH=src:. python -m tools.upgrade_cluster [--earlier DIR] [--gate off] [--soak 5]
+
+The controllers are real processes; state service, cloud, workers and users are the stand-ins of `tests/world`.
+They begin with the version in the checkout DIR, or else with a stand-in for the version before, are ended one
+at a time and come back with this one. Then the level turns on, and one of them is rolled back. It prints what
+happened when, histograms of users' waits, and whether a rule was broken. docs/rollout.md tells more.
+"""
+
+import argparse
+import asyncio
+import os
+import sys
+import tempfile
+import time
+from asyncio.subprocess import PIPE, Process
+from collections import Counter
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+from hdrh.histogram import HdrHistogram
+
+from elmthread.common.http import Answer, Client, NoAnswer
+from tests.world.world import job, sent
+from tools.loopback import CALL_TIME, HOST, RealLoop, StandIns, free_ports
+
+ROOT = Path(__file__).resolve().parent.parent
+NODES = ["loom-0", "loom-1", "loom-2"]
+MACHINES = 12
+# A user submits a job each so many seconds, of so many tasks, which take so long.
+JOB_EVERY_S, TASKS, TASK_S = 0.5, 8, 6.0
+# How long a process is away, and how long the next one waits for its turn.
+AWAY_S, TURN_S = 1.0, 4.0
+# Bounds of the histograms, in milliseconds, and their significant digits.
+SHORTEST_MS, LONGEST_MS, DIGITS = 1, 60_000, 3
+# Attempts of a user, a second apart; the protocol lets one try for 60 s.
+ATTEMPTS = 60
+LATE_MS = 1000
+PATIENCE_S = 120.0
+
+
+@dataclass
+class Waits:
+    """What users noticed in one phase."""
+
+    submissions: Any = field(default_factory=lambda: HdrHistogram(SHORTEST_MS, LONGEST_MS, DIGITS))
+    polls: Any = field(default_factory=lambda: HdrHistogram(SHORTEST_MS, LONGEST_MS, DIGITS))
+    counts: Counter[str] = field(default_factory=Counter)
+
+    def lines(self) -> list[str]:
+        """For the report."""
+        found = []
+        for name, histogram in (("submissions", self.submissions), ("polls", self.polls)):
+            total = histogram.get_total_count()
+            at = ", ".join(f"p{part:g} {histogram.get_value_at_percentile(part)} ms" for part in (50, 90, 99, 100))
+            found.append(f"  {total} {name} answered: {at}" if total else f"  no {name}")
+        found.append("  " + (", ".join(f"{count} {what}" for what, count in sorted(self.counts.items())) or "all well"))
+        return found
+
+
+@dataclass
+class Options:
+    """How the cluster is upgraded."""
+
+    earlier: Path | None
+    gate: bool
+    soak_s: float
+
+
+class Node:
+    """One controller's process, whichever version it runs, and the lines that it logs."""
+
+    def __init__(self, name: str, folder: Path, began: float) -> None:
+        """Its settings lie in the folder."""
+        self.name = name
+        self.settings = folder / f"{name}.toml"
+        self.lines: list[tuple[float, str]] = []
+        self._began = began
+        self._process: Process | None = None
+        self._reading: asyncio.Task[None] | None = None
+
+    async def start(self, command: list[str], source: Path) -> None:
+        """Starts a process of a version."""
+        environment = os.environ | {"PYTHONPATH": f"{source / 'src'}:{source}", "LOG_LEVEL": "info"}
+        self._process = await asyncio.create_subprocess_exec(
+            *command, "--config", str(self.settings), env=environment, cwd=source, stderr=PIPE
+        )
+        self._reading = asyncio.get_running_loop().create_task(self._read(self._process))
+
+    async def _read(self, process: Process) -> None:
+        assert process.stderr is not None
+        while line := await process.stderr.readline():
+            self.lines.append((time.monotonic() - self._began, line.decode().rstrip()))
+
+    async def kill(self) -> None:
+        """Ends it without notice."""
+        if self._process is not None and self._process.returncode is None:
+            self._process.kill()
+            await self._process.wait()
+        if self._reading is not None:
+            await self._reading
+
+    def when(self, text: str) -> float | None:
+        """When it last logged a line with that text."""
+        return next((at for at, line in reversed(self.lines) if text in line), None)
+
+
+class Upgrade:
+    """The run: stand-ins, users and three controllers that change their version."""
+
+    def __init__(self, loop: RealLoop, folder: Path, options: Options) -> None:
+        """Settings are written to the folder."""
+        self._options, self._folder = options, folder
+        self._began = time.monotonic()
+        ports = free_ports(2 * len(NODES))
+        self._addresses = {node: f"{HOST}:{ports.pop()}" for node in NODES}
+        self._peers = {node: f"{HOST}:{ports.pop()}" for node in NODES}
+        self.stand_ins = StandIns(loop, self._addresses, MACHINES)
+        self.nodes = {node: Node(node, folder, self._began) for node in NODES}
+        self.waits = {"before": Waits(), "upgrade": Waits(), "after": Waits(), "rollback": Waits()}
+        self._phase = "before"
+        self._up: list[str] = []
+        self.ends: dict[str, str] = {}
+        self._next = 0
+        self.happened: list[tuple[float, str]] = []
+
+    def _note(self, what: str) -> None:
+        self.happened.append((time.monotonic() - self._began, what))
+
+    async def run(self) -> None:
+        """All of it, until every job has its final answer."""
+        await self.stand_ins.start()
+        for node in NODES:
+            self.nodes[node].settings.write_text(self.stand_ins.settings(node, self._peers, 200))
+        (self._folder / "rollout.toml").write_text(
+            f"[rollout]\nenabled = true\nsoak_s = {self._options.soak_s}\n" if self._options.gate else ""
+        )
+        try:
+            await self._steps()
+        finally:
+            for process in self.nodes.values():
+                await process.kill()
+
+    async def _steps(self) -> None:
+        for node in NODES:
+            await self._start_earlier(node)
+        self.stand_ins.add_machines(MACHINES)
+        await asyncio.sleep(3)
+        users = asyncio.get_running_loop().create_task(self._users())
+        await asyncio.sleep(5)
+        self._phase = "upgrade"
+        for node in NODES:
+            await self._stop(node)
+            await asyncio.sleep(AWAY_S)
+            await self._start_new(node)
+            await asyncio.sleep(TURN_S)
+        if self._options.gate:
+            await self._until_in_use()
+        self._phase = "after"
+        await asyncio.sleep(5)
+        self._phase = "rollback"
+        back = NODES[0]
+        await self._stop(back)
+        await self._start_earlier(back)
+        await asyncio.sleep(8)
+        self._note(f"{back}, rolled back, answers /ready with {await self._ready(back)}")
+        await self._stop(back)
+        await self._start_new(back)
+        await asyncio.sleep(5)
+        self._note(f"{back}, new again, answers /ready with {await self._ready(back)}")
+        users.cancel()
+        await self._until_over()
+
+    # Controllers
+
+    async def _start_earlier(self, node: str) -> None:
+        source = self._options.earlier
+        command = [sys.executable, "-m", "elmthread.cli", "serve"]
+        if source is None:
+            source = ROOT
+            command = [sys.executable, "-m", "tests.world.version_before"]
+            command += ["--operators", str(self._folder / "rollout.toml")]
+        await self.nodes[node].start(command, source)
+        self._up.append(node)
+        self._note(f"{node} starts the earlier version")
+
+    async def _start_new(self, node: str) -> None:
+        operators = ["--operators", str(self._folder / "rollout.toml")]
+        await self.nodes[node].start([sys.executable, "-m", "elmthread.cli", "serve", *operators], ROOT)
+        self._up.append(node)
+        self._note(f"{node} starts this version")
+
+    async def _stop(self, node: str) -> None:
+        self._up.remove(node)
+        await self.nodes[node].kill()
+        self._note(f"{node} is ended")
+
+    async def _ready(self, node: str) -> int:
+        try:
+            return (await Client(self._addresses[node]).call("GET", "/ready", timeout=CALL_TIME)).status
+        except NoAnswer:
+            return 0
+
+    async def _until_in_use(self) -> None:
+        """Waits until each process has said that it uses the level."""
+        end = time.monotonic() + PATIENCE_S
+        while any(node.when("is in use here") is None for node in self.nodes.values()):
+            if time.monotonic() > end:
+                raise TimeoutError("the level does not turn on")
+            await asyncio.sleep(0.02)
+        self._note("every controller uses the level")
+
+    # Users
+
+    async def _users(self) -> None:
+        while True:
+            spec = job(self._next, pieces=TASKS, expected_s=TASK_S, true_s=TASK_S)
+            self._next += 1
+            self.stand_ins.rules.submitted(spec)
+            asyncio.get_running_loop().create_task(self._follow(spec))
+            await asyncio.sleep(JOB_EVERY_S)
+
+    async def _follow(self, spec: dict[str, Any]) -> None:
+        job_id, waits = spec["name_id"], self.waits[self._phase]
+        began = time.monotonic()
+        for _ in range(ATTEMPTS):
+            answer = await self._ask(job_id, "POST", "/submissions", sent(spec))
+            if answer is not None and answer.status in (200, 201):
+                break
+            waits.counts["submissions tried again"] += 1
+            await asyncio.sleep(1)
+        else:
+            waits.counts["submissions given up"] += 1
+            return
+        took_ms = (time.monotonic() - began) * 1000
+        waits.submissions.record_value(max(SHORTEST_MS, round(took_ms)))
+        waits.counts["submissions that took over 1 s"] += took_ms > LATE_MS
+        while self.ends.get(job_id) != "done":
+            await asyncio.sleep(2)
+            await self._poll(job_id)
+
+    async def _poll(self, job_id: str) -> None:
+        waits, began = self.waits[self._phase], time.monotonic()
+        answer = await self._ask(job_id, "GET", f"/submissions/{job_id}", None)
+        if answer is None or answer.status != 200:
+            waits.counts["polls without an answer"] += 1
+            return
+        waits.polls.record_value(max(SHORTEST_MS, round((time.monotonic() - began) * 1000)))
+        self.ends[job_id] = answer.body["status"]
+
+    async def _ask(self, job_id: str, method: str, path: str, body: Any) -> Answer | None:
+        """As through a load balancer: another node is asked where one refuses the connection or is not ready."""
+        asked = asyncio.get_running_loop().time()
+        answer = None
+        for node in self._up[:]:
+            try:
+                answer = await Client(self._addresses[node]).call(method, path, body, timeout=CALL_TIME)
+            except NoAnswer:
+                continue
+            if answer.status != 503:
+                break
+        if answer is not None:
+            state = answer.body.get("status") if isinstance(answer.body, dict) else None
+            self.stand_ins.rules.heard(job_id, answer.status, state, asked)
+        return answer
+
+    async def _until_over(self) -> None:
+        end = time.monotonic() + PATIENCE_S
+        while time.monotonic() < end:
+            if len(self.ends) == self._next and set(self.ends.values()) == {"done"}:
+                self._note(f"all {self._next} jobs are done")
+                return
+            await asyncio.sleep(0.5)
+        open_jobs = sorted(job_id for job_id, state in self.ends.items() if state != "done")
+        raise TimeoutError(f"{len(open_jobs)} of {self._next} jobs have not ended: {open_jobs[:5]}")
+
+    # Report
+
+    def level(self) -> int:
+        """The active level in the state service."""
+        stored = self.stand_ins.store.items.get("rollout/level")
+        return 1 if stored is None else int(stored[0]["level"])
+
+    def durations(self) -> list[str]:
+        """Times between announcement, activation and use, as the logs tell them."""
+        announced = [at for node in self.nodes.values() for at, line in node.lines if "are announced" in line]
+        active = [at for node in self.nodes.values() for at, line in node.lines if "is active" in line]
+        used = [at for node in self.nodes.values() for at, line in node.lines if "is in use here" in line]
+        if not active or not used:
+            return ["the level was not raised"]
+        before = max(at for at in announced if at <= active[0])
+        first_use = [at for at in used if at < self._rolled_back_at()]
+        return [
+            f"last announcement to activation: {active[0] - before:.2f} s (soak time {self._options.soak_s} s)",
+            f"activation to use by the leader: {min(first_use) - active[0]:.3f} s, "
+            f"by all {len(first_use)} controllers: {max(first_use) - active[0]:.3f} s",
+        ]
+
+    def _rolled_back_at(self) -> float:
+        return next(at for at, what in self.happened if "every controller uses" in what) + 0.5
+
+    def report(self) -> list[str]:
+        """What was seen."""
+        lines = [f"{at:7.2f} s  {what}" for at, what in self.happened]
+        lines += self.durations() if self._options.gate else ["the rollout is off"]
+        for phase, waits in self.waits.items():
+            lines += [f"users, {phase}:", *waits.lines()]
+        starts = self.stand_ins.rules.starts
+        lines.append(f"{sum(starts.values())} starts of {len(starts)} tasks; level {self.level()}")
+        lines.append(f"rules broken: {self.stand_ins.rules.broken or 'none'}")
+        lines.append("said by the node that was rolled back:")
+        refusals = [line for _, line in self.nodes[NODES[0]].lines if "does not take part" in line or "Misread" in line]
+        return lines + [f"  {line}" for line in refusals[-1:] or ["nothing"]]
+
+
+def main() -> int:
+    """Runs the upgrade once and prints the report."""
+    arguments = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
+    arguments.add_argument("--earlier", type=Path, metavar="DIR", help="a checkout of the version to begin with")
+    arguments.add_argument("--gate", choices=["on", "off"], default="on", help="whether the rollout is switched on")
+    arguments.add_argument("--soak", type=float, default=5.0, metavar="SECONDS")
+    given = arguments.parse_args()
+    loop = RealLoop()
+    asyncio.set_event_loop(loop)
+    with tempfile.TemporaryDirectory() as folder:
+        options = Options(given.earlier and given.earlier.resolve(), given.gate == "on", given.soak)
+        upgrade = Upgrade(loop, Path(folder), options)
+        loop.run_until_complete(upgrade.run())
+        print("\n".join(upgrade.report()))
+    return 1 if upgrade.stand_ins.rules.broken else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
