Before the level rises, each node that answers is asked which process it runs

Need: a node rolled back to a version without levels announces nothing, so its earlier announcement stands and the level could rise under it; the fence keeps it from leading, but all such nodes together would serve nobody. The question is an ask that the version in production refuses; a node that does not answer counts as announced. Test: seen failing with the question left out.

--- a/src/elmthread/controller.py
+++ b/src/elmthread/controller.py
@@ -15,7 +15,7 @@
 from elmthread.common.load import Kind, Load
 from elmthread.fleet.client import CloudClient
 from elmthread.fleet.service import QUIET, Fleet
-from elmthread.intake.api import VOUCH, Api
+from elmthread.intake.api import VOUCH, WHICH_PROCESS, Api
 from elmthread.intake.jobs import Jobs
 from elmthread.intake.service import Intake
 from elmthread.leadership.election import Election, Role, Term
@@ -330,7 +330,9 @@
         gate = CompatibilityGate(
             Membership(platform.node, members), supported, operators.rollout, self._state, self._refused
         )
-        self.rollout = RolloutContext(members, supported, operators.rollout, gate, ActiveFeatures())
+        self.rollout = RolloutContext(
+            platform.node, members, supported, operators.rollout, gate, ActiveFeatures(), self._process_of
+        )
         self.election = Election(
             platform.node,
             self._state,
@@ -360,7 +362,7 @@
             self._intake,
             self._beat,
             self.load,
-            lambda: gate.admitted,
+            gate,
         )
         most = max(10, int(facts.limits.max_connections * SERVERS_PART))
         workers = Crowd(BEAT, max(5, int(most * WORKERS_PART)), facts.workers.lease)
@@ -416,6 +418,11 @@
             if all(await asyncio.gather(*asks)):
                 self.election.unrivalled(token, asked)
 
+    async def _process_of(self, node: str) -> str | None:
+        """The process that a node runs; None where its version has no name for it. Raises NotReached."""
+        reply = await self.peers.ask(node, Ask(0, WHICH_PROCESS, ""), VOUCH_TIME)
+        return (reply.body or {}).get("process") if reply.status == 200 else None
+
     async def _vouched(self, node: str, token: int) -> bool:
         try:
             return (await self.peers.ask(node, Ask(0, VOUCH, "", token), VOUCH_TIME)).status == 200
--- a/src/elmthread/intake/api.py
+++ b/src/elmthread/intake/api.py
@@ -15,6 +15,7 @@
 from elmthread.leadership.election import Election
 from elmthread.peers.link import NotReached, Peers
 from elmthread.peers.messages import Ask, Reply
+from elmthread.rollout.gate import CompatibilityGate
 
 log = logging.getLogger(__name__)
 
@@ -32,6 +33,8 @@
 # Not a user's question: whether nobody here has won since the asker's term began. An earlier
 # version does not know it and vouches for nothing.
 VOUCH = "vouch"
+# Neither a user's: which process of its node this is. An earlier version refuses the question.
+WHICH_PROCESS = "process"
 
 TOO_MUCH = again(429, seconds(2), "too much to do")
 
@@ -48,10 +51,10 @@
         intake: Callable[[], Intake | None],
         beat: Beat,
         load: Load,
-        admitted: Callable[[], bool] = lambda: True,
+        gate: CompatibilityGate,
     ) -> None:
-        """`admitted` says whether this process may serve at all."""
-        self._admitted = admitted
+        """The gate says whether this process may serve at all."""
+        self._gate = gate
         self._load = load
         self._node = node
         self._election = election
@@ -78,7 +81,7 @@
         return Response(404, {"error": "no such path"})
 
     def _ready(self) -> Response:
-        if not self._admitted():
+        if not self._gate.admitted:
             return again(503, SOON, "not admitted")
         leader = self._election.leader
         now = self._clock()
@@ -109,7 +112,7 @@
         return await self._ask(Ask(0, verb, job_id))
 
     async def _ask(self, ask: Ask) -> Response:
-        if not self._admitted():
+        if not self._gate.admitted:
             return self._elsewhere("not admitted")
         if self._load.refuses(KINDS[ask.verb]):
             return TOO_MUCH
@@ -171,6 +174,8 @@
         """A question that came over the peer link, for the term that the asker knows."""
         if ask.verb == VOUCH:
             return Reply(ask.number, 200 if self._election.vouches(ask.token) else 503, token=ask.token)
+        if ask.verb == WHICH_PROCESS:
+            return Reply(ask.number, 200, {"process": self._gate.process}, token=ask.token)
         intake = self._intake()
         if ask.verb in KINDS and self._load.refuses(KINDS[ask.verb]):
             response = TOO_MUCH
--- a/src/elmthread/rollout/decide.py
+++ b/src/elmthread/rollout/decide.py
@@ -17,6 +17,7 @@
     OLDER = "runs an older version"
     NEWER = "runs a version that can't read the active level"
     HELD = "holds the level by its settings"
+    OTHER_PROCESS = "runs another process than the one that announced itself"
 
 
 @dataclass(frozen=True)
@@ -45,8 +46,7 @@
 
     level: int
     level_stamp: int
-    # By node.
-    stamps: tuple[tuple[str, int], ...]
+    announcements: tuple[tuple[str, Announcement], ...]
 
 
 def plan_activation(view: RolloutView, members: frozenset[str], supported: SupportedLevels) -> Activate | Wait:
@@ -64,8 +64,7 @@
         return Wait((*unfit, *_limits(readable, view.level + 1)))
     target = min([supported.highest, *map(_highest, readable.values())])
     if target > view.level:
-        stamps = tuple((node, found.stamp) for node, found in readable.items())
-        return Activate(target, view.level_stamp, stamps)
+        return Activate(target, view.level_stamp, tuple(readable.items()))
     if view.level >= supported.highest:
         return Wait()
     return Wait(tuple(_limits(readable, view.level + 1)))
--- a/src/elmthread/rollout/gate.py
+++ b/src/elmthread/rollout/gate.py
@@ -86,7 +86,7 @@
         self._settings = settings
         self._client = client
         self._on_refused = on_refused
-        self._process = secrets.token_hex(8)
+        self.process = secrets.token_hex(8)
         self._admission = asyncio.Event()
         self._refusal = asyncio.Event()
         # The last refusal: the same one is told of once.
@@ -163,7 +163,7 @@
         if not self._settings.enabled:
             return True
         own = view.announcements.get(self._membership.node)
-        if isinstance(own, Announcement) and own.process == self._process:
+        if isinstance(own, Announcement) and own.process == self.process:
             # Of an earlier sending without an answer; what remains of it fails on this stamp.
             return True
         await self._write(view, 0 if own is None else own.stamp)
@@ -175,7 +175,7 @@
             lowest=self._supported.lowest,
             highest=self._supported.highest,
             members=sorted(self._membership.members),
-            process=self._process,
+            process=self.process,
             announced_at=round(time.time(), 3),
             hold_at=self._settings.hold_at,
         )
--- a/src/elmthread/rollout/term.py
+++ b/src/elmthread/rollout/term.py
@@ -7,7 +7,7 @@
 
 import asyncio
 import logging
-from collections.abc import Iterable, Mapping
+from collections.abc import Awaitable, Callable, Iterable, Mapping
 from dataclasses import dataclass
 from datetime import timedelta
 from typing import Any
@@ -19,8 +19,9 @@
 from elmthread.ledger.client import Expired, Lost, Refused, StateClient, Unavailable, Unsure
 from elmthread.ledger.records import LEADER
 from elmthread.ledger.writer import Rank, Writer
+from elmthread.peers.link import NotReached
 from elmthread.rollout import messages
-from elmthread.rollout.decide import Activate, Obstacle, plan_activation
+from elmthread.rollout.decide import Activate, Obstacle, ObstacleKind, plan_activation
 from elmthread.rollout.features import FIRST_LEVEL, ActiveFeatures, SupportedLevels
 from elmthread.rollout.gate import CompatibilityGate
 from elmthread.rollout.settings import RolloutSettings
@@ -36,11 +37,14 @@
 class RolloutContext:
     """What a process has of the rollout, whoever leads."""
 
+    node: str
     members: frozenset[str]
     supported: SupportedLevels
     settings: RolloutSettings
     gate: CompatibilityGate
     features: ActiveFeatures
+    # Which process another node runs now; raises NotReached.
+    process_of: Callable[[str], Awaitable[str | None]]
 
 
 class TermRollout:
@@ -112,8 +116,14 @@
         await self._client.watch(messages.PREFIX, records.revision, pause)
 
     async def _activate(self, plan: Activate) -> None:
+        strangers = await self._other_processes(plan)
+        if strangers:
+            self._planned = None
+            self._tell(strangers)
+            await asyncio.sleep(WATCH.total_seconds())
+            return
         guards = [store.guard(LEADER, self._token), store.guard(messages.LEVEL_KEY, plan.level_stamp)]
-        guards += [store.guard(messages.node_key(node), stamp) for node, stamp in plan.stamps]
+        guards += [store.guard(messages.node_key(node), found.stamp) for node, found in plan.announcements]
         record = msgspec.to_builtins(messages.LevelRecord(plan.level, self._token))
         try:
             await self._client.commit(guards, [store.put(messages.LEVEL_KEY, record)])
@@ -124,6 +134,25 @@
             return
         self._activated(plan.level)
 
+    async def _other_processes(self, plan: Activate) -> tuple[Obstacle, ...]:
+        """Nodes that answer, but not as the process that announced itself.
+
+        A node that was rolled back to a version without levels announces nothing, so its earlier
+        announcement still stands. One that does not answer counts by what it has announced: should it come
+        back with such a version, the fence keeps it from leading.
+        """
+        found = []
+        for node, announcement in plan.announcements:
+            if node == self._context.node:
+                continue
+            try:
+                process = await self._context.process_of(node)
+            except NotReached:
+                continue
+            if process != announcement.process:
+                found.append(Obstacle(node, ObstacleKind.OTHER_PROCESS))
+        return tuple(found)
+
     def _activated(self, level: int) -> None:
         self._level = level
         log.info("compatibility level %s is active", level)
--- a/src/elmthread/rollout/tests/test_decide.py
+++ b/src/elmthread/rollout/tests/test_decide.py
@@ -55,7 +55,7 @@
         assert plan.level == expected > level
         # All that the decision rests on is compared by the transaction.
         assert plan.level_stamp == 7
-        assert dict(plan.stamps) == {node: view.announcements[node].stamp for node in NODES}
+        assert dict(plan.announcements) == view.announcements
     else:
         assert expected == level
         # Whoever waits is told for whom, but for the newest version that has nothing more to raise.
--- a/tests/test_staged_rollout.py
+++ b/tests/test_staged_rollout.py
@@ -19,7 +19,7 @@
 from elmthread.rollout.gate import CompatibilityGate, GateState
 from elmthread.rollout.settings import RolloutSettings
 from elmthread.rollout.term import TermRollout
-from elmthread.rollout.view import RolloutView
+from elmthread.rollout.view import Announcement, RolloutView
 from tests.test_rollout import fall
 from tests.test_world import HISTORIES, TROUBLES, befall, day, restore
 from tests.world import earlier
@@ -359,6 +359,29 @@
     staged_day(script)
 
 
+async def roll_back_unannounced(world: World) -> None:
+    """A node's announcement still stands, but names another process than the one that runs."""
+    for node in NODES:
+        replace(world, node, SUPPORTED, 0.2)
+    await asyncio.sleep(2)
+    assert world.leader is not None
+    back = next(node for node in NODES if node != world.leader.api._node)
+    # Without the setting it announces nothing, as a version that knows no levels.
+    world.rollout = RolloutSettings()
+    replace(world, back, BEFORE, 0.2)
+    await asyncio.sleep(0.5)
+    world.rollout = RolloutSettings(enabled=True, soak_s=SOAK_S)
+    await asyncio.sleep(4 * SOAK_S)
+    assert world.store.items[f"rollout/nodes/{back}"][0]["highest"] == 2
+    assert stored_level(world) == 1, "active though a node runs a version that announced nothing"
+    replace(world, back, SUPPORTED, 0.2)
+    await until_level(world, 2)
+
+
+def test_a_node_rolled_back_to_a_version_without_levels_is_noticed_while_it_answers() -> None:
+    staged_day(lambda world, monitor: roll_back_unannounced(world))
+
+
 def test_a_store_left_by_the_version_without_levels_is_taken_up() -> None:
     async def script(world: World, monitor: RolloutMonitor) -> None:
         ids = await submit_some(world)
@@ -504,7 +527,8 @@
     """The level rises once most nodes have it."""
     able = {node for node, one in view.announcements.items() if getattr(one, "levels", BEFORE).highest >= 2}
     if view.level < 2 and len(able) * 2 > len(members):
-        return Activate(2, view.level_stamp, tuple((node, view.announcements[node].stamp) for node in able))
+        found = {node: one for node, one in view.announcements.items() if isinstance(one, Announcement)}
+        return Activate(2, view.level_stamp, tuple((node, found[node]) for node in able))
     return plan_activation(view, members, supported)
 
 
@@ -626,6 +650,10 @@
         lambda: mock.patch.object(TermRollout, "_put_up_fence", learn_at_once),
         mark_tasks_done,
     ),
+    "processes are not asked which they are": (
+        lambda: mock.patch.object(TermRollout, "_other_processes", mock.AsyncMock(return_value=())),
+        roll_back_unannounced,
+    ),
     "every process is admitted": (
         lambda: mock.patch.object(CompatibilityGate, "check", lambda self, level: None),
         roll_all_back,
