Assignments as runs behind level 2; done marks and assignments have modules of their own

A record in the new form has no field `build`, so earlier versions refuse it; the smaller form is written, so no record outgrows what was reckoned. The monitor compares loaded assignments with a plain reading. Schema and samples of level 2 anew; it is not published before this landing.

--- a/src/elmthread/agents/service.py
+++ b/src/elmthread/agents/service.py
@@ -21,9 +21,11 @@
 from elmthread.common.clock import Clock, at_least, seconds
 from elmthread.common.http import BadBody, Request, Response, again, decode
 from elmthread.leadership.election import Term
-from elmthread.ledger.records import machine_key, machine_record
+from elmthread.ledger.assignments import machine_record
+from elmthread.ledger.records import machine_key
 from elmthread.ledger.writer import Rank, Writer
 from elmthread.placement.book import SEEN, Book, Hold, HoldState, Job, Machine, MachineState, Stop
+from elmthread.rollout.features import ActiveFeatures
 from elmthread.sizing.work import WorkModel
 
 log = logging.getLogger(__name__)
@@ -50,7 +52,9 @@
         finished: Callable[[Job, int, Callable[[], None]], None],
         changed: Callable[[], None],
         work_waits: Callable[[], bool],
+        features: ActiveFeatures,
     ) -> None:
+        self._features = features
         self._book = book
         self._term = term
         self._writer = writer
@@ -188,7 +192,9 @@
             if event is not None:
                 event.set()
 
-        self._writer.write(machine_key(machine.name), Rank.ASSIGN, lambda: machine_record(machine), durable)
+        self._writer.write(
+            machine_key(machine.name), Rank.ASSIGN, lambda: machine_record(machine, self._features), durable
+        )
 
     def out_of_reach(self, reach: Reach) -> bool:
         """Most machines are silent here and reach another node."""
--- a/src/elmthread/controller.py
+++ b/src/elmthread/controller.py
@@ -19,7 +19,7 @@
 from elmthread.intake.jobs import Jobs
 from elmthread.intake.service import Intake
 from elmthread.leadership.election import Election, Role, Term
-from elmthread.ledger import records
+from elmthread.ledger.assignments import machine_frame
 from elmthread.ledger.client import StateClient
 from elmthread.ledger.loading import Loader
 from elmthread.ledger.log import Slots, slot_bytes
@@ -116,7 +116,7 @@
         store = facts.state.kept()
         self._slots = Slots(slot_bytes(store.value_kb))
         rate = store.write_rps * LEADERS_PART
-        self.book = Book(self._slots.most, records.machine_frame)
+        self.book = Book(self._slots.most, machine_frame)
         self.writer = Writer(
             state,
             token,
@@ -167,6 +167,7 @@
             self.intake.finished,
             self.changed,
             lambda: self.placement.waiting,
+            rollout.features,
         )
         self.placement = Placement(
             self.book,
--- a/src/elmthread/intake/service.py
+++ b/src/elmthread/intake/service.py
@@ -11,7 +11,8 @@
 from elmthread.intake import messages
 from elmthread.intake.messages import Submission
 from elmthread.leadership.election import Term
-from elmthread.ledger.records import done_key, done_record, job_key, job_record
+from elmthread.ledger.done_marks import done_record
+from elmthread.ledger.records import done_key, job_key, job_record
 from elmthread.ledger.writer import Rank, Stopped, Writer
 from elmthread.placement.book import Book, Job, JobState, Machine
 from elmthread.rollout.features import ActiveFeatures
--- /dev/null
+++ b/src/elmthread/ledger/assignments.py
@@ -0,0 +1,104 @@
+"""The stored forms of a machine's assignments: which tasks may be on it, with which attempts.
+
+They are most of what a leader writes. The first form lists each task with its attempt. The second one
+(`Feature.ASSIGNMENT_RUNS`) lists runs: tasks that are placed together mostly have consecutive numbers and
+consecutive attempts. It has no field `build`, so a version that does not read it refuses it.
+"""
+
+from collections.abc import Iterator
+from typing import Any
+
+import msgspec
+
+from elmthread.ledger.log import text_of, weight
+from elmthread.ledger.records import machine_key
+from elmthread.placement.book import Machine
+from elmthread.rollout.features import ActiveFeatures, Feature, SupportedLevels
+
+
+class MachineRecord(msgspec.Struct, omit_defaults=True):
+    """A machine and each task that may be on it."""
+
+    build: str
+    zone: str
+    spot: bool
+    pool: bool = False
+    # job id -> task, attempt, task, attempt, ...
+    holds: dict[str, list[int]] = {}
+
+
+class AssignmentRunsRecord(msgspec.Struct, omit_defaults=True):
+    """A machine and runs of tasks that may be on it."""
+
+    type: str
+    zone: str
+    spot: bool
+    pool: bool = False
+    # What is added to each attempt in `runs`.
+    base: int = 0
+    # job id -> first task, first attempt, number of tasks; first task, ...
+    runs: dict[str, list[int]] = {}
+
+
+def machine_record(machine: Machine, features: ActiveFeatures) -> MachineRecord | AssignmentRunsRecord:
+    """The assignments in the smaller of the forms that every controller reads."""
+    pairs = _pairs_record(machine)
+    if not features.is_active(Feature.ASSIGNMENT_RUNS) or not pairs.holds:
+        return pairs
+    runs = _runs_record(pairs)
+    # What a machine may be given is reckoned by the first form: no record may be larger than that.
+    return runs if len(text_of(runs)) < len(text_of(pairs)) else pairs
+
+
+def read_machine(value: Any, supported: SupportedLevels) -> MachineRecord:
+    """The record in the first form. Raises ValueError for what this process does not read."""
+    if not (isinstance(value, dict) and "runs" in value and supported.reads(Feature.ASSIGNMENT_RUNS)):
+        return msgspec.convert(value, MachineRecord)
+    record = msgspec.convert(value, AssignmentRunsRecord)
+    holds = {job_id: list(_expanded(numbers, record.base)) for job_id, numbers in record.runs.items()}
+    return MachineRecord(record.type, record.zone, record.spot, record.pool, holds)
+
+
+def machine_frame(machine: Machine) -> int:
+    """Bytes of a slot that a machine's record takes at most before anything is assigned to it."""
+    record = MachineRecord(machine.build, machine.zone, True, True, {"": []})
+    return weight(machine_key(machine.name), text_of(record))
+
+
+def _pairs_record(machine: Machine) -> MachineRecord:
+    holds: dict[str, list[int]] = {}
+    for hold in machine.holds.values():
+        holds.setdefault(hold.job.id, []).extend((hold.task, hold.attempt))
+    return MachineRecord(machine.build, machine.zone, machine.spot, machine.pool, holds)
+
+
+def _runs_record(pairs: MachineRecord) -> AssignmentRunsRecord:
+    base = min(min(numbers[1::2]) for numbers in pairs.holds.values())
+    runs = {job_id: _runs(numbers, base) for job_id, numbers in pairs.holds.items()}
+    return AssignmentRunsRecord(pairs.build, pairs.zone, pairs.spot, pairs.pool, base, runs)
+
+
+def _runs(numbers: list[int], base: int) -> list[int]:
+    """Tasks and attempts that both go up by one, as runs."""
+    found: list[int] = []
+    next_task = next_attempt = -1
+    for task, attempt in sorted(zip(numbers[::2], numbers[1::2], strict=True)):
+        if task == next_task and attempt == next_attempt:
+            found[-1] += 1
+        else:
+            found += (task, attempt - base, 1)
+        next_task, next_attempt = task + 1, attempt + 1
+    return found
+
+
+def _expanded(numbers: list[int], base: int) -> Iterator[int]:
+    for task, attempt, count in zip(numbers[::3], numbers[1::3], numbers[2::3], strict=True):
+        if min(task, attempt) < 0 or not 1 <= count <= MOST_IN_A_RUN:
+            raise ValueError(f"not a run of tasks: {task}, {attempt}, {count}")
+        for step in range(count):
+            yield task + step
+            yield base + attempt + step
+
+
+# More tasks than this no job has.
+MOST_IN_A_RUN = 100_000
--- a/src/elmthread/ledger/loading.py
+++ b/src/elmthread/ledger/loading.py
@@ -14,7 +14,9 @@
 from elmthread.intake.jobs import Jobs
 from elmthread.intake.messages import BATCH, Submission
 from elmthread.ledger import messages, records
+from elmthread.ledger.assignments import read_machine
 from elmthread.ledger.client import StateClient, Unavailable, Unsure
+from elmthread.ledger.done_marks import MOST_MARKS, mark_done, read_done
 from elmthread.ledger.log import SLOTS, Misread, Slots
 from elmthread.ledger.records import LAYOUT
 from elmthread.ledger.writer import Rank, Writer
@@ -135,7 +137,7 @@
         state = JobState(record.state)
         if record.spec is None:
             spec = _finished_spec(key.removeprefix("j/"), record.tasks)
-            job = Job(spec, datetime.now(UTC), self._clock(), seconds(0), 1.0, False, records.MOST_MARKS)
+            job = Job(spec, datetime.now(UTC), self._clock(), seconds(0), 1.0, False, MOST_MARKS)
         else:
             submitted = records.submitted_at(record)
             age = max(timedelta(), datetime.now(UTC) - submitted)
@@ -152,7 +154,7 @@
         _, job_id, chunk = key.split("/")
         job = self._book.jobs.get(job_id)
         if job is not None and job.open:
-            records.mark_done(job, int(chunk), records.read_done(value, self._supported))
+            mark_done(job, int(chunk), read_done(value, self._supported))
         else:
             self._writer.delete(key)
 
@@ -164,7 +166,7 @@
         self._types.update((kind.name, kind) for kind in msgspec.convert(value, list[Type]))
 
     def _read_machine(self, key: str, value: Any) -> None:
-        record = msgspec.convert(value, records.MachineRecord)
+        record = read_machine(value, self._supported)
         name = key.removeprefix("m/")
         machine = Machine(name, record.build, record.zone, record.spot, MachineState.UNSURE, self._clock())
         machine.pool = record.pool
--- /dev/null
+++ b/src/elmthread/ledger/tests/test_assignments.py
@@ -0,0 +1,88 @@
+"""Both stored forms of assignments, against the plain list of tasks and attempts."""
+
+from typing import Any
+
+import msgspec
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from elmthread.common.clock import ZERO
+from elmthread.ledger.assignments import AssignmentRunsRecord, MachineRecord, machine_record, read_machine
+from elmthread.ledger.log import text_of
+from elmthread.placement.book import Machine, MachineState
+from elmthread.rollout.features import SUPPORTED, ActiveFeatures, SupportedLevels
+
+BEFORE = SupportedLevels(1, 1)
+
+
+class Held:
+    """What the record takes of an assignment."""
+
+    def __init__(self, job_id: str, task: int, attempt: int) -> None:
+        self.job = type("Job", (), {"id": job_id})
+        self.task, self.attempt = task, attempt
+
+
+def machine_with(assigned: list[tuple[str, int, int]]) -> Machine:
+    machine = Machine("m-000001", "small", "east", True, MachineState.UP, ZERO)
+    machine.pool = True
+    for one in assigned:
+        machine.holds[one[2]] = Held(*one)  # type: ignore[assignment]
+    return machine
+
+
+def level(number: int) -> ActiveFeatures:
+    features = ActiveFeatures()
+    features.learn(number)
+    return features
+
+
+def plain(record: MachineRecord) -> set[tuple[str, int, int]]:
+    return {
+        (job_id, numbers[index], numbers[index + 1])
+        for job_id, numbers in record.holds.items()
+        for index in range(0, len(numbers), 2)
+    }
+
+
+# Runs of tasks of a few jobs, of one term or of several, and single tasks.
+runs = st.tuples(
+    st.sampled_from(["run-1", "run-2", "run-000412"]), st.integers(0, 999), st.integers(1, 40), st.integers(1, 3)
+)
+
+
+@settings(max_examples=300, deadline=None, derandomize=True, database=None)
+@given(st.lists(runs, max_size=8), st.integers(1, 10**6))
+def test_whatever_is_assigned_is_found_again_in_no_more_bytes(found: list[Any], token: int) -> None:
+    assigned: dict[int, tuple[str, int, int]] = {}
+    attempt = token * 10_000_000
+    for job_id, first, count, term in found:
+        for step in range(count):
+            attempt += 1
+            number = attempt + term * 10_000_000
+            assigned[number] = (job_id, first + step, number)
+    machine = machine_with(list(assigned.values()))
+    old, new = machine_record(machine, level(1)), machine_record(machine, level(2))
+    assert isinstance(old, MachineRecord)
+    assert len(text_of(new)) <= len(text_of(old))
+    for record, supported in ((old, BEFORE), (old, SUPPORTED), (new, SUPPORTED)):
+        read = read_machine(msgspec.to_builtins(record), supported)
+        assert plain(read) == set(assigned.values())
+        assert (read.build, read.zone, read.spot, read.pool) == ("small", "east", True, True)
+
+
+def test_tasks_placed_together_take_one_run() -> None:
+    machine = machine_with([("run-000001", 40 + n, 7_000_000_100 + n) for n in range(50)])
+    record = machine_record(machine, level(2))
+    assert isinstance(record, AssignmentRunsRecord) and record.runs == {"run-000001": [40, 0, 50]}
+    # A version of the level before refuses it, and does not take the machine for empty.
+    with pytest.raises(ValueError):
+        read_machine(msgspec.to_builtins(record), BEFORE)
+
+
+@pytest.mark.parametrize("numbers", [[1, 2], [0, 0, 0], [0, 0, -3], [-1, 0, 2], [0, -1, 2], [0, 0, 10**7], ["a", 0, 1]])
+def test_what_is_no_run_is_refused(numbers: list[Any]) -> None:
+    value = {"type": "small", "zone": "east", "spot": True, "base": 5, "runs": {"run-000001": numbers}}
+    with pytest.raises(ValueError):
+        read_machine(value, SUPPORTED)
--- a/src/elmthread/ledger/tests/test_writer.py
+++ b/src/elmthread/ledger/tests/test_writer.py
@@ -12,9 +12,10 @@
 
 from elmthread.ledger import messages
 from elmthread.ledger.client import StateClient
+from elmthread.ledger.done_marks import chunk_tasks
 from elmthread.ledger.log import FRAME, SLOTS, Misread, Slots, pack, slot_bytes, text_of, weight
 from elmthread.ledger.pacing import Bucket
-from elmthread.ledger.records import LEADER, chunk_tasks
+from elmthread.ledger.records import LEADER
 from elmthread.ledger.writer import Rank, Writer
 from tests.world.faults import errors_logged
 from tests.world.loop import SimLoop, play
--- a/src/elmthread/rollout/features.py
+++ b/src/elmthread/rollout/features.py
@@ -20,6 +20,7 @@
     """Everything that needs all controllers to have a certain level."""
 
     DONE_BITMAPS = auto()
+    ASSIGNMENT_RUNS = auto()
     LEVEL_IN_ANNOUNCEMENTS = auto()
 
 
@@ -47,6 +48,12 @@
         what="done tasks are stored as compressed bitmaps of up to 1,024 tasks",
         earlier_versions="miss the field `marks`, refuse the record and do not lead",
     ),
+    Feature.ASSIGNMENT_RUNS: FeatureDescription(
+        level=2,
+        changes=Changes.STORED_FORM,
+        what="a machine's assignments are stored as runs of tasks with consecutive attempts",
+        earlier_versions="miss the field `build`, refuse the record and do not lead",
+    ),
     Feature.LEVEL_IN_ANNOUNCEMENTS: FeatureDescription(
         level=2,
         changes=Changes.MESSAGE,
--- a/tests/test_schemas.py
+++ b/tests/test_schemas.py
@@ -15,7 +15,8 @@
 import msgspec
 import pytest
 
-from elmthread.ledger import records
+from elmthread.ledger.assignments import read_machine
+from elmthread.ledger.done_marks import MOST_MARKS, done_tasks, read_done
 from elmthread.peers import messages as peers
 from elmthread.rollout.features import FIRST_LEVEL, SUPPORTED
 from elmthread.rollout.messages import AnnouncementRecord, LevelRecord, read_fence
@@ -29,7 +30,7 @@
 SAMPLES = ROOT / "tests" / "samples"
 PUBLISHED = {
     "level-1.json": "1efb99e53feacbeb",
-    "level-2.json": "a8bf30efba6d6e68",
+    "level-2.json": "81600fbfc40694d5",
     "rollout.json": "951481e11b3b2a17",
 }
 KEYS = {"j/": "job", "d/": "done", "m/": "machine", "r/": "rental", "y/": "types", "t/types": "types"}
@@ -80,7 +81,9 @@
     if form.startswith("message "):
         peers.decode(msgspec.json.encode(value))
     elif form == "done":
-        list(records.done_tasks(records.read_done(value, SUPPORTED), records.MOST_MARKS))
+        list(done_tasks(read_done(value, SUPPORTED), MOST_MARKS))
+    elif form == "machine":
+        read_machine(value, SUPPORTED)
     elif form == "fence":
         read_fence(value)
     else:
@@ -124,6 +127,7 @@
         (1, "job", {"state": "open", "tasks": 3, "colour": "red"}),
         (1, "message lead", {"kind": "lead", "leader": None, "token": 3, "level": 2}),
         (2, "machine", {"build": "small", "zone": "east"}),
+        (1, "machine", {"type": "small", "zone": "east", "spot": False, "base": 7, "runs": {"run-000001": [0, 0, 4]}}),
     ],
 )
 def test_a_form_of_another_level_is_refused(level: int, form: str, value: Any) -> None:
--- a/tests/world/rollouts.py
+++ b/tests/world/rollouts.py
@@ -17,6 +17,7 @@
 from bitarray.util import sc_decode
 
 from elmthread.ledger.loading import Loader
+from elmthread.placement.book import JobState
 from elmthread.rollout.features import SupportedLevels
 from elmthread.rollout.settings import RolloutSettings
 from tests.world.earlier import newest
@@ -68,7 +69,9 @@
     """Whether a record is one that only level 2 writes."""
     if key == FENCE:
         return True
-    return key.startswith("d/") and record is not None and "bits" in record
+    return record is not None and (
+        (key.startswith("d/") and "bits" in record) or (key.startswith("m/") and "runs" in record)
+    )
 
 
 def done_in_store(world: World) -> dict[str, set[int]]:
@@ -92,6 +95,22 @@
     return found
 
 
+def assigned_in_store(world: World) -> set[tuple[str, str, int, int]]:
+    """Machine, job, task and attempt of all that the store says may run, read in the plainest way."""
+    found = set()
+    for key, record in newest({key: value for key, (value, _, _) in world.store.items.items()}).items():
+        if not key.startswith("m/"):
+            continue
+        for job_id, numbers in record.get("holds", {}).items():
+            for index in range(0, len(numbers), 2):
+                found.add((key[2:], job_id, numbers[index], numbers[index + 1]))
+        for job_id, numbers in record.get("runs", {}).items():
+            for index in range(0, len(numbers), 3):
+                task, attempt, count = numbers[index : index + 3]
+                found |= {(key[2:], job_id, task + n, record.get("base", 0) + attempt + n) for n in range(count)}
+    return found
+
+
 class RolloutMonitor:
     """Collects whatever breaks the promises of a staged rollout."""
 
@@ -155,6 +174,15 @@
                 self._break(f"{job_id} is misread: {sorted(marked)[:9]} of {sorted(stored.get(job_id, set()))[:9]}")
             if not {f"{job_id}/{task}" for task in marked} <= finished:
                 self._break(f"{job_id} has tasks marked that have not ended")
+        machines, jobs = loader._book.machines.values(), loader._book.jobs
+        held = {(one.name, hold.job.id, hold.task, hold.attempt) for one in machines for hold in one.holds.values()}
+        wanted = {
+            one
+            for one in assigned_in_store(self._world)
+            if one[1] in jobs and jobs[one[1]].state is not JobState.DONE and not jobs[one[1]].is_done(one[2])
+        }
+        if held != wanted:
+            self._break(f"assignments are misread: {sorted(held ^ wanted)[:5]}")
         if stored_level(self._world) not in loader._supported:
             self._break(f"a view is loaded by a version without level {stored_level(self._world)}")
 
--- a/tools/schemas.py
+++ b/tools/schemas.py
@@ -15,8 +15,10 @@
 
 from elmthread.fleet.messages import Type
 from elmthread.leadership.election import LeaderRecord
+from elmthread.ledger.assignments import AssignmentRunsRecord, MachineRecord
+from elmthread.ledger.done_marks import DoneBitmapRecord, DoneRecord
 from elmthread.ledger.log import SlotRecord
-from elmthread.ledger.records import DoneBitmapRecord, DoneRecord, JobRecord, MachineRecord, RentalRecord
+from elmthread.ledger.records import JobRecord, RentalRecord
 from elmthread.peers.messages import Ask, Lead, Reply
 from elmthread.rollout.features import SUPPORTED
 from elmthread.rollout.messages import AnnouncementRecord, FenceRecord, LevelRecord
@@ -32,7 +34,7 @@
     "slot": SlotRecord,
     "job": JobRecord,
     "done": DoneRecord | DoneBitmapRecord,
-    "machine": MachineRecord,
+    "machine": MachineRecord | AssignmentRunsRecord,
     "rental": RentalRecord,
     "types": list[Type],
     "layout": int,
