--- a/src/elmthread/agents/health.py
+++ b/src/elmthread/agents/health.py
@@ -10,7 +10,7 @@
 from datetime import timedelta
 
 from elmthread.common.clock import ZERO, seconds
-from elmthread.placement.book import Hold, HoldState, Job, Machine
+from elmthread.placement.cluster import Allocation, AllocationState, Job, Machine
 
 FIRST_PAUSE = seconds(2)
 LONGEST_PAUSE = seconds(120)
@@ -47,18 +47,18 @@
         job.errors.discard(machine.name)
         machine.failures.clear()
 
-    def steady(self, hold: Hold, now: timedelta) -> bool:
+    def steady(self, allocation: Allocation, now: timedelta) -> bool:
         """It has served for so long that its end says nothing about its start."""
-        return hold.started_at is not None and now - hold.started_at >= STEADY
+        return allocation.started_at is not None and now - allocation.started_at >= STEADY
 
-    def ended(self, hold: Hold, now: timedelta) -> None:
+    def ended(self, allocation: Allocation, now: timedelta) -> None:
         """A replica ended by itself, which is no fault of the machine: started again at once, but
         one that ends right after its start is not started in a loop.
         """
-        if self.steady(hold, now):
-            hold.job.backoff = ZERO
+        if self.steady(allocation, now):
+            allocation.job.backoff = ZERO
         else:
-            self._pause(hold.job, now)
+            self._pause(allocation.job, now)
 
     def _pause(self, job: Job, now: timedelta) -> None:
         """Tried ever less often; tasks that fail together are one failure."""
@@ -78,14 +78,14 @@
 def _runs_on(job: Job, now: timedelta) -> int:
     """Machines on which the job's tasks have not failed and have run for a while; a few are enough."""
     fine: set[str] = set()
-    for hold in job.live.values():
+    for allocation in job.live.values():
         if (
-            hold.state is HoldState.RUNNING
-            and hold.started_at is not None
-            and now - hold.started_at >= SURVIVED
-            and hold.machine.name not in job.errors
+            allocation.state is AllocationState.RUNNING
+            and allocation.started_at is not None
+            and now - allocation.started_at >= SURVIVED
+            and allocation.machine.name not in job.errors
         ):
-            fine.add(hold.machine.name)
+            fine.add(allocation.machine.name)
             if len(fine) > len(job.errors):
                 break
     return len(fine)
--- a/src/elmthread/agents/service.py
+++ b/src/elmthread/agents/service.py
@@ -24,7 +24,16 @@
 from elmthread.ledger.assignments import machine_record
 from elmthread.ledger.records import machine_key
 from elmthread.ledger.writer import Rank, Writer
-from elmthread.placement.book import SEEN, Book, Hold, HoldState, Job, Machine, MachineState, Stop
+from elmthread.placement.cluster import (
+    SEEN,
+    Allocation,
+    AllocationState,
+    ClusterState,
+    Job,
+    Machine,
+    MachineState,
+    Stop,
+)
 from elmthread.rollout.features import ActiveFeatures
 from elmthread.sizing.work import WorkModel
 
@@ -36,13 +45,13 @@
 MISSED = 3
 # Silence of fewer machines than this says nothing about the node itself.
 TOUCH_LEAST = 4
-STATES = {"fetching": HoldState.FETCHING, "running": HoldState.RUNNING, "saving": HoldState.SAVING}
+STATES = {"fetching": AllocationState.FETCHING, "running": AllocationState.RUNNING, "saving": AllocationState.SAVING}
 
 
 class Agents:
     def __init__(
         self,
-        book: Book,
+        cluster: ClusterState,
         term: Term,
         writer: Writer,
         work: WorkModel,
@@ -55,7 +64,7 @@
         features: ActiveFeatures,
     ) -> None:
         self._features = features
-        self._book = book
+        self._cluster = cluster
         self._term = term
         self._writer = writer
         self._work = work
@@ -84,10 +93,10 @@
             self._term.hear(report.token)
         if not self._term.answers_workers():
             return Response(421, messages.elsewhere(self._term.leader))
-        if report.machine in self._book.gone:
+        if report.machine in self._cluster.gone:
             # Its deletion was answered: a late report of a machine that is no more.
             return again(503, seconds(1), "machine is gone")
-        machine = self._book.machines.get(report.machine) or self._adopt(report)
+        machine = self._cluster.machines.get(report.machine) or self._adopt(report)
         if (report.session, report.sequence) <= machine.newest or report.session <= machine.silent_sessions:
             self.dropped += 1
             return again(503, seconds(1), "an older report")
@@ -120,7 +129,7 @@
         stops = []
         for task in report.tasks:
             name = task.split()
-            job = self._book.jobs.get(name[0]) if name and task.state != "exited" else None
+            job = self._cluster.jobs.get(name[0]) if name and task.state != "exited" else None
             if job is not None and not job.open:
                 stops.append(messages.halt(task.name, task.attempt, 0.0))
         return stops[:MOST_ORDERS]
@@ -136,7 +145,7 @@
         """A machine nobody told us of: rented by a late request or by an earlier leader."""
         machine = Machine(report.machine, report.type, report.zone, report.spot, MachineState.UNSURE, self._clock())
         self._describe(machine)
-        self._book.add_machine(machine)
+        self._cluster.add_machine(machine)
         return machine
 
     def _listen(self, machine: Machine, report: Report, answered_at: timedelta | None, now: timedelta) -> None:
@@ -164,7 +173,7 @@
     def _may_come(self, machine: Machine) -> bool:
         """Starts are being made durable for it, or it has room and there is work that waits."""
         return (machine.cpus - machine.cpus_used >= 1.0 and self._work_waits()) or any(
-            hold.state is HoldState.PLANNED for hold in machine.holds.values()
+            allocation.state is AllocationState.PLANNED for allocation in machine.allocations.values()
         )
 
     async def _linger(self, machine: Machine) -> None:
@@ -180,14 +189,19 @@
                 del self._waiting[machine.name]
 
     def assign(self, machine: Machine) -> None:
-        """Makes the machine's new holds durable, then lets them be sent."""
-        planned = [hold for hold in machine.holds.values() if hold.state is HoldState.PLANNED]
+        """Makes the machine's new allocations durable, then lets them be sent."""
+        planned = [
+            allocation for allocation in machine.allocations.values() if allocation.state is AllocationState.PLANNED
+        ]
 
         def durable() -> None:
             # Only what the written record held; later plans wait for a record of their own.
-            for hold in planned:
-                if hold.state is HoldState.PLANNED and machine.holds.get(hold.attempt) is hold:
-                    hold.move(HoldState.READY)
+            for allocation in planned:
+                if (
+                    allocation.state is AllocationState.PLANNED
+                    and machine.allocations.get(allocation.attempt) is allocation
+                ):
+                    allocation.move(AllocationState.READY)
             event = self._waiting.get(machine.name)
             if event is not None:
                 event.set()
@@ -202,20 +216,20 @@
         if not elsewhere:
             return False
         now = self._clock()
-        expected = [machine for machine in self._book.machines.values() if machine.expected]
+        expected = [machine for machine in self._cluster.machines.values() if machine.expected]
         silent = sum(machine.unheard(now, self._began) for machine in expected)
         return should_give_way(len(expected), silent, elsewhere)
 
     def out_of_touch(self) -> bool:
         """Most machines are silent: where no other controller is reached either, it is this node."""
         now = self._clock()
-        expected = [machine for machine in self._book.machines.values() if machine.expected]
+        expected = [machine for machine in self._cluster.machines.values() if machine.expected]
         silent = sum(machine.unheard(now, self._began) for machine in expected)
         return len(expected) >= TOUCH_LEAST and silent * 2 > len(expected)
 
     def _is_news(self, stray: Stray) -> bool:
         name, *newest = stray
-        machine = self._book.machines.get(name)
+        machine = self._cluster.machines.get(name)
         return machine is not None and tuple(newest) > machine.newest
 
     # What a report says
@@ -236,26 +250,26 @@
         exits: list[Task] = []
         stops: list[dict[str, Any]] = []
         for task in report.tasks:
-            hold = machine.holds.get(task.attempt)
-            if hold is not None and STATES.get(task.state) is hold.state:
+            allocation = machine.allocations.get(task.attempt)
+            if allocation is not None and STATES.get(task.state) is allocation.state:
                 # As the last report had it: so it is with most of what is listed.
                 continue
             if task.state == "exited":
-                self._exited(machine, hold, task, now)
+                self._exited(machine, allocation, task, now)
                 exits.append(task)
-            elif hold is not None:
-                self._seen(hold, task, now)
+            elif allocation is not None:
+                self._seen(allocation, task, now)
             else:
                 stops += self._unexpected(machine, task, now)
         lost = False
-        for hold in self._not_listed(machine, report):
-            if hold.state in _MUST_BE_LISTED:
+        for allocation in self._not_listed(machine, report):
+            if allocation.state in _MUST_BE_LISTED:
                 # Killed with its session, or never sent by the leader before us.
-                log.info("%s no longer has %s/%s", machine.name, hold.job.id, hold.task)
-                self._drop(hold, now)
-            elif hold.sent:
+                log.info("%s no longer has %s/%s", machine.name, allocation.job.id, allocation.task)
+                self._drop(allocation, now)
+            elif allocation.sent:
                 # The answer that carried its start was lost, and won't be executed any more.
-                hold.sent = False
+                allocation.sent = False
                 lost = True
         machine.missed = machine.missed + 1 if lost else 0
         if machine.missed >= MISSED and machine.deaf_since is None:
@@ -263,51 +277,53 @@
             machine.deaf_since = now
         return exits, stops
 
-    def _not_listed(self, machine: Machine, report: Report) -> list[Hold]:
+    def _not_listed(self, machine: Machine, report: Report) -> list[Allocation]:
         listed = {task.attempt for task in report.tasks}
-        if machine.holds.keys() <= listed:
+        if machine.allocations.keys() <= listed:
             return []
-        return [hold for attempt, hold in machine.holds.items() if attempt not in listed]
+        return [allocation for attempt, allocation in machine.allocations.items() if attempt not in listed]
 
-    def _seen(self, hold: Hold, task: Task, now: timedelta) -> None:
+    def _seen(self, allocation: Allocation, task: Task, now: timedelta) -> None:
         state = STATES.get(task.state)
         if state is None:
             log.info("unknown task state %r", task.state)
             return
-        if state is not HoldState.FETCHING:
-            hold.machine.images[hold.job.spec.image] = hold.job.spec.image_gb
-            if hold.started_at is None:
-                hold.started_at = now
-                waited = (now - hold.job.since).total_seconds()
-                log.debug("%s/%s runs on %s after %.1f s", hold.job.id, hold.task, hold.machine.name, waited)
-        hold.move(state)
+        if state is not AllocationState.FETCHING:
+            allocation.machine.images[allocation.job.spec.image] = allocation.job.spec.image_gb
+            if allocation.started_at is None:
+                allocation.started_at = now
+                waited = (now - allocation.job.since).total_seconds()
+                log.debug(
+                    "%s/%s runs on %s after %.1f s", allocation.job.id, allocation.task, allocation.machine.name, waited
+                )
+        allocation.move(state)
 
     def _unexpected(self, machine: Machine, task: Task, now: timedelta) -> list[dict[str, Any]]:
         """A running task that no record names: counted while it is there, and stopped."""
         name = task.split()
-        job = self._book.jobs.get(name[0]) if name else None
+        job = self._cluster.jobs.get(name[0]) if name else None
         log.info("%s has %s attempt %s, which is not recorded", machine.name, task.name, task.attempt)
         if name is None or job is None or not 0 <= name[1] < job.total:
             return [messages.halt(task.name, task.attempt, 0.0)]
-        hold = self._book.hold(machine, job, name[1], task.attempt, HoldState.UNSEEN)
-        hold.stop = Stop.KILL
-        self._seen(hold, task, now)
+        allocation = self._cluster.allocate(machine, job, name[1], task.attempt, AllocationState.UNSEEN)
+        allocation.stop = Stop.KILL
+        self._seen(allocation, task, now)
         if name[1] in job.pending:
             job.pending.remove(name[1])
         return []
 
-    def _exited(self, machine: Machine, hold: Hold | None, task: Task, now: timedelta) -> None:
+    def _exited(self, machine: Machine, allocation: Allocation | None, task: Task, now: timedelta) -> None:
         """Takes in the end of a task. While it stands in `to_reap`, the worker must not forget it."""
         name = task.split()
-        job = hold.job if hold is not None else self._book.jobs.get(name[0]) if name else None
-        if hold is not None:
+        job = allocation.job if allocation is not None else self._cluster.jobs.get(name[0]) if name else None
+        if allocation is not None:
             log.debug("%s on %s ended: %s", task.name, machine.name, task.why)
-            self._learn(machine, hold, task, now)
+            self._learn(machine, allocation, task, now)
         if task.why == "done" and job is not None and not job.daemon and name is not None and 0 <= name[1] < job.total:
             index = name[1]
             if job.open and not job.is_done(index):
                 job.set_done(index)
-                if hold is None and index in job.pending:
+                if allocation is None and index in job.pending:
                     job.pending.remove(index)
                 machine.to_reap[task.attempt] = (job.id, index)
 
@@ -315,18 +331,18 @@
                     machine.to_reap.pop(task.attempt, None)
 
                 self._finished(job, index, durable)
-        if hold is not None:
-            self._drop(hold, now)
+        if allocation is not None:
+            self._drop(allocation, now)
 
-    def _learn(self, machine: Machine, hold: Hold, task: Task, now: timedelta) -> None:
-        job = hold.job
-        if job.daemon and (task.why == "done" or self.health.steady(hold, now)):
-            self.health.ended(hold, now)
+    def _learn(self, machine: Machine, allocation: Allocation, task: Task, now: timedelta) -> None:
+        job = allocation.job
+        if job.daemon and (task.why == "done" or self.health.steady(allocation, now)):
+            self.health.ended(allocation, now)
         elif task.why == "done":
             machine.images[job.spec.image] = job.spec.image_gb
             self.health.succeeded(machine, job)
-            if hold.started_at is not None and hold.stop is None:
-                self._work.saw(job.spec.job_class, job.spec.expected_s, now - hold.started_at)
+            if allocation.started_at is not None and allocation.stop is None:
+                self._work.saw(job.spec.job_class, job.spec.expected_s, now - allocation.started_at)
         elif task.why == "error":
             log.info("%s failed on %s", task.name, machine.name)
             self.health.failed(machine, job, now)
@@ -334,8 +350,8 @@
             log.info("%s refused %s: %s", machine.name, task.name, task.why)
             self.health.refused(job, now)
 
-    def _drop(self, hold: Hold, now: timedelta) -> None:
-        self._book.drop(hold, now)
+    def _drop(self, allocation: Allocation, now: timedelta) -> None:
+        self._cluster.drop(allocation, now)
         self._changed()
 
     # What the worker is told
@@ -345,26 +361,36 @@
         commands: list[dict[str, Any]] = []
         starts: list[dict[str, Any]] = []
         now = self._clock()
-        for hold in list(machine.holds.values()):
-            job = hold.job
-            if not job.open or job.is_done(hold.task):
-                hold.stop = Stop.KILL
-            elif hold.stop is None and hold.state is not HoldState.PLANNED and hold.state is not HoldState.READY:
+        for allocation in list(machine.allocations.values()):
+            job = allocation.job
+            if not job.open or job.is_done(allocation.task):
+                allocation.stop = Stop.KILL
+            elif (
+                allocation.stop is None
+                and allocation.state is not AllocationState.PLANNED
+                and allocation.state is not AllocationState.READY
+            ):
                 # It runs, and is to run on: so it is with most.
                 continue
-            name = messages.task_name(job.id, hold.task)
-            unwanted = hold.stop is not None or machine.state is not MachineState.UP or machine.deaf_since is not None
-            if unwanted and hold.state in (HoldState.PLANNED, HoldState.READY) and not hold.sent:
+            name = messages.task_name(job.id, allocation.task)
+            unwanted = (
+                allocation.stop is not None or machine.state is not MachineState.UP or machine.deaf_since is not None
+            )
+            if (
+                unwanted
+                and allocation.state in (AllocationState.PLANNED, AllocationState.READY)
+                and not allocation.sent
+            ):
                 # No start is on its way, so it is surely not there.
-                self._drop(hold, now)
-            elif hold.stop is not None:
-                grace = job.spec.save_s if hold.stop is Stop.SAVE and job.spec.saves else 0.0
-                commands.append(messages.halt(name, hold.attempt, grace))
-            elif hold.state is HoldState.READY and leads and not unwanted:
-                hold.sent = True
-                starts.append(messages.start(name, hold.attempt))
+                self._drop(allocation, now)
+            elif allocation.stop is not None:
+                grace = job.spec.save_s if allocation.stop is Stop.SAVE and job.spec.saves else 0.0
+                commands.append(messages.halt(name, allocation.attempt, grace))
+            elif allocation.state is AllocationState.READY and leads and not unwanted:
+                allocation.sent = True
+                starts.append(messages.start(name, allocation.attempt))
         return commands + starts
 
 
-# A hold in one of these states that a report leaves out is not on the machine.
-_MUST_BE_LISTED = SEEN | {HoldState.UNSEEN}
+# An allocation in one of these states that a report leaves out is not on the machine.
+_MUST_BE_LISTED = SEEN | {AllocationState.UNSEEN}
--- a/src/elmthread/agents/tests/test_health.py
+++ b/src/elmthread/agents/tests/test_health.py
@@ -5,32 +5,32 @@
 from elmthread.agents.health import FIRST_PAUSE, STEADY, Health
 from elmthread.common.clock import ZERO, seconds
 from elmthread.intake.messages import read_submission
-from elmthread.placement.book import Book, HoldState, Job, Machine, MachineState
+from elmthread.placement.cluster import AllocationState, ClusterState, Job, Machine, MachineState
 from tests.world.world import job as wire
 
 
 class Bench:
     def __init__(self) -> None:
-        self.book = Book(100)
+        self.cluster = ClusterState(100)
         self.health = Health()
         self.attempt = 0
 
     def machine(self, number: int) -> Machine:
         machine = Machine(f"m-{number}", "small", "east", False, MachineState.UP, ZERO)
-        self.book.add_machine(machine)
+        self.cluster.add_machine(machine)
         return machine
 
     def job(self, number: int, tasks: int = 100) -> Job:
         spec = read_submission(wire(number, pieces=tasks))
         job = Job(spec, datetime.now(UTC), ZERO, seconds(100), 1.0, False, 64)
-        self.book.add_job(job)
+        self.cluster.add_job(job)
         return job
 
     def runs(self, job: Job, machine: Machine) -> None:
         self.attempt += 1
-        hold = self.book.hold(machine, job, job.pending.popleft(), self.attempt, HoldState.READY)
-        hold.started_at = ZERO
-        hold.move(HoldState.RUNNING)
+        allocation = self.cluster.allocate(machine, job, job.pending.popleft(), self.attempt, AllocationState.READY)
+        allocation.started_at = ZERO
+        allocation.move(AllocationState.RUNNING)
 
 
 def test_large_job_that_meets_sick_machines_is_not_put_off() -> None:
@@ -90,16 +90,16 @@
     now = seconds(0)
     for _ in range(8):
         bench.runs(job, machine)
-        hold = next(iter(job.live.values()))
-        hold.started_at = now
-        bench.health.ended(hold, now + seconds(1))
+        allocation = next(iter(job.live.values()))
+        allocation.started_at = now
+        bench.health.ended(allocation, now + seconds(1))
         pauses.append((job.retry_at - now).total_seconds() - 1)
-        bench.book.drop(hold, now)
+        bench.cluster.drop(allocation, now)
         now = job.retry_at
     assert pauses[:4] == [2, 4, 8, 16] and max(pauses) == 120
     bench.runs(job, machine)
-    hold = next(iter(job.live.values()))
-    hold.started_at = now
-    bench.health.ended(hold, now + STEADY)
+    allocation = next(iter(job.live.values()))
+    allocation.started_at = now
+    bench.health.ended(allocation, now + STEADY)
     assert not job.backoff and job.retry_at <= now + STEADY
     assert not machine.suspect and not machine.failures
--- a/src/elmthread/controller.py
+++ b/src/elmthread/controller.py
@@ -27,7 +27,7 @@
 from elmthread.ledger.writer import Writer
 from elmthread.peers.link import Peers, PeerUnreachableError
 from elmthread.peers.messages import Ask, Lead, Reply
-from elmthread.placement.book import Book, Job
+from elmthread.placement.cluster import ClusterState, Job
 from elmthread.placement.service import Placement
 from elmthread.rollout.features import SUPPORTED, ActiveFeatures, Feature, SupportedLevels
 from elmthread.rollout.gate import CompatibilityGate, IncompatibleLevelError, Membership
@@ -116,7 +116,7 @@
         store = facts.state.kept()
         self._slots = Slots(slot_bytes(store.value_kb))
         rate = store.write_rps * LEADERS_PART
-        self.book = Book(self._slots.most, machine_frame)
+        self.cluster = ClusterState(self._slots.most, machine_frame)
         self.writer = Writer(
             state,
             token,
@@ -130,7 +130,7 @@
         calls = Bucket(facts.cloud.rps * 0.9, max(1.0, facts.cloud.rps * 1.5), clock)
         unsure_until = clock() + election.unaccounted_for(facts.workers.lease)
         self.fleet = Fleet(
-            self.book,
+            self.cluster,
             CloudClient(cloud, calls, self.term.leads),
             self.writer,
             clock,
@@ -143,7 +143,7 @@
             self._lacking,
         )
         self.intake = Intake(
-            self.book,
+            self.cluster,
             self.term,
             self.writer,
             clock,
@@ -157,7 +157,7 @@
             rollout.features,
         )
         self.agents = Agents(
-            self.book,
+            self.cluster,
             self.term,
             self.writer,
             self.work,
@@ -170,7 +170,7 @@
             rollout.features,
         )
         self.placement = Placement(
-            self.book,
+            self.cluster,
             {team.name: team for team in facts.teams},
             clock,
             self._next_attempt,
@@ -180,7 +180,7 @@
             self._expected,
             self.agents.health.forgive,
         )
-        self.sizing = Sizing(self.book, self.fleet, self.placement, self._expected, operators, clock)
+        self.sizing = Sizing(self.cluster, self.fleet, self.placement, self._expected, operators, clock)
         self.loaded = False
         self._change = asyncio.Event()
         self._shortfall = asyncio.Event()
@@ -222,7 +222,7 @@
             self._state,
             self._slots,
             self.writer,
-            self.book,
+            self.cluster,
             self._jobs,
             self._clock,
             self.fleet.set_types,
@@ -490,7 +490,7 @@
 
     def _say(self) -> Lead:
         token = self.election.seen_token
-        machines = len(self.leader.book.machines) if self.leader is not None else 0
+        machines = len(self.leader.cluster.machines) if self.leader is not None else 0
         lead = Lead(self.election.leader, token, self._platform.node, *self.reach.strays(token), machines)
         if self.leader is not None and self.rollout.features.is_active(Feature.LEVEL_IN_ANNOUNCEMENTS):
             lead.level = self.rollout.features.level
--- a/src/elmthread/fleet/service.py
+++ b/src/elmthread/fleet/service.py
@@ -24,7 +24,7 @@
     types_records,
 )
 from elmthread.ledger.writer import Rank, Writer
-from elmthread.placement.book import Book, Machine, MachineState
+from elmthread.placement.cluster import ClusterState, Machine, MachineState
 
 log = logging.getLogger(__name__)
 
@@ -84,7 +84,7 @@
 class Fleet:
     def __init__(
         self,
-        book: Book,
+        cluster: ClusterState,
         cloud: CloudClient,
         writer: Writer,
         clock: Clock,
@@ -96,7 +96,7 @@
         changed: Callable[[], None],
         lacking: Callable[[], None],
     ) -> None:
-        self._book = book
+        self._cluster = cluster
         self._cloud = cloud
         self._writer = writer
         self._clock = clock
@@ -126,7 +126,7 @@
 
     def set_types(self, types: list[messages.Type]) -> None:
         self.types = {kind.name: kind for kind in types}
-        for machine in self._book.machines.values():
+        for machine in self._cluster.machines.values():
             self.describe(machine)
         self._changed()
 
@@ -159,7 +159,7 @@
         calls = self._cloud.calls
         doomed = [
             machine.name
-            for machine in self._book.machines.values()
+            for machine in self._cluster.machines.values()
             if machine.state is MachineState.DELETING and machine.name not in self._deleting
         ][:MOST_DELETED]
         if not self.types and self._due(self._types_at, seconds(2)) and calls.take():
@@ -179,7 +179,7 @@
             self._spawn(self._learn_types())
 
     def _list_every(self) -> timedelta:
-        pages = 1 + len(self._book.machines) // MOST_LISTED
+        pages = 1 + len(self._cluster.machines) // MOST_LISTED
         return max(self._lag / 2, seconds(3 * pages / self._cloud.calls.rate))
 
     def _due(self, last: timedelta | None, every: timedelta) -> bool:
@@ -231,9 +231,9 @@
         names = set()
         for listed in machines:
             names.add(listed.name)
-            if listed.name in self._book.gone:
+            if listed.name in self._cluster.gone:
                 continue
-            machine = self._book.machines.get(listed.name)
+            machine = self._cluster.machines.get(listed.name)
             if machine is None:
                 machine = self._adopt(listed, now)
             machine.was_listed = True
@@ -241,7 +241,7 @@
             if listed.state == "failed":
                 # Stopped on its own. When it stopped is not known; the deletion's answer is proof.
                 self.give_up(machine, "listed as failed")
-        for machine in list(self._book.machines.values()):
+        for machine in list(self._cluster.machines.values()):
             if machine.was_listed and machine.name not in names:
                 count = self._missing[machine.name] = self._missing.get(machine.name, 0) + 1
                 silent = machine.reported_at is None or now - machine.reported_at > self._lag * 2
@@ -253,7 +253,7 @@
         machine = Machine(listed.name, listed.type, listed.zone, listed.spot, state, now)
         machine.known_since = now - seconds(listed.age_s)
         self.describe(machine)
-        self._book.add_machine(machine)
+        self._cluster.add_machine(machine)
         log.info("%s is in the list", machine.name)
         return machine
 
@@ -305,13 +305,13 @@
             return
         now = self._clock()
         for name in names:
-            if name in self._book.gone:
+            if name in self._cluster.gone:
                 continue
-            machine = self._book.machines.get(name)
+            machine = self._cluster.machines.get(name)
             if machine is None:
                 machine = Machine(name, kind.build, kind.zone, kind.spot, MachineState.BOOTING, now)
                 self.describe(machine)
-                self._book.add_machine(machine)
+                self._cluster.add_machine(machine)
             machine.pool = order.pool
         self._over(order)
         if len(names) < order.count:
@@ -354,11 +354,11 @@
             self._deleting.difference_update(names)
         now = self._clock()
         for name in names:
-            machine = self._book.machines.get(name)
+            machine = self._cluster.machines.get(name)
             if machine is None:
                 continue
             machine.move(MachineState.GONE)
-            self._book.bury(machine, now)
+            self._cluster.bury(machine, now)
             self._refused.pop(Kind(machine.build, machine.zone, machine.spot), None)
             self._missing.pop(name, None)
             self._writer.delete(machine_key(name))
@@ -369,7 +369,7 @@
         now = self._clock()
         self._find_cut(now)
         quiet_after = self._lease * QUIET
-        for machine in list(self._book.machines.values()):
+        for machine in list(self._cluster.machines.values()):
             machine.cut = machine.zone in self._cut
             if (
                 machine.state is MachineState.UP
@@ -398,7 +398,7 @@
                 self.give_up(machine, "taken back")
             elif machine.deaf_since is not None and now - machine.deaf_since > self._lease * DEAF:
                 self.give_up(machine, "our answers do not reach it")
-            elif machine.suspect and not machine.holds:
+            elif machine.suspect and not machine.allocations:
                 self.give_up(machine, "fails tasks")
             elif self._silence(machine, now) > self._lease + self._lag * 2 + kept:
                 self.give_up(machine, "silent")
@@ -413,7 +413,7 @@
     def _find_cut(self, now: timedelta) -> None:
         expected: Counter[str] = Counter()
         silent: Counter[str] = Counter()
-        for machine in self._book.machines.values():
+        for machine in self._cluster.machines.values():
             if machine.expected:
                 expected[machine.zone] += 1
                 silent[machine.zone] += machine.unheard(now, self._began)
@@ -444,9 +444,9 @@
         return max(until, self._unsure_until) if machine.state is MachineState.UNSURE else until
 
     def _expire(self, machine: Machine, now: timedelta) -> None:
-        """Drops the holds of a machine whose lease has surely run out."""
-        if machine.holds and now > self.empty_by(machine):
+        """Releases the allocations of a machine whose lease has surely run out."""
+        if machine.allocations and now > self.empty_by(machine):
             log.info("the lease of %s has run out", machine.name)
             machine.silent_sessions = machine.newest[0]
-            self._book.drop_all(machine, now)
+            self._cluster.drop_all(machine, now)
             self._changed()
--- a/src/elmthread/fleet/tests/test_service.py
+++ b/src/elmthread/fleet/tests/test_service.py
@@ -12,7 +12,7 @@
 from elmthread.fleet.service import MISSING, Fleet, Kind
 from elmthread.ledger.pacing import Bucket
 from elmthread.ledger.writer import Rank
-from elmthread.placement.book import REMEMBERED, Book, Machine, MachineState
+from elmthread.placement.cluster import REMEMBERED, ClusterState, Machine, MachineState
 from tests.world.loop import SimLoop, play
 
 KIND = Kind("small", "east", True)
@@ -50,13 +50,13 @@
         return Answer(200, {})
 
 
-def fleet(rps: float = 2.0) -> tuple[Cloud, Book, Fleet]:
-    cloud, book = Cloud(), Book(100)
+def fleet(rps: float = 2.0) -> tuple[Cloud, ClusterState, Fleet]:
+    cloud, cluster = Cloud(), ClusterState(100)
     asyncio.set_event_loop(cloud.loop)
     names = iter(f"r-1-{number}" for number in range(1000))
     clock = cloud.loop.clock
     one = Fleet(
-        book,
+        cluster,
         CloudClient(cloud, Bucket(rps * 0.9, rps * 1.5, clock), lambda: True),
         Store(),  # type: ignore[arg-type]
         clock,
@@ -69,22 +69,22 @@
         lambda: None,
     )
     one.set_types([Type("small", 4.0, 0.0, 8.0, 80.0, 0.2, 0.26, 0.1, 50.0, ["east"])])
-    return cloud, book, one
+    return cloud, cluster, one
 
 
-def machine(book: Book, number: int, state: MachineState = MachineState.UP) -> Machine:
+def machine(cluster: ClusterState, number: int, state: MachineState = MachineState.UP) -> Machine:
     one = Machine(f"m-{number:06d}", "small", "east", True, state, seconds(0))
-    book.add_machine(one)
+    cluster.add_machine(one)
     return one
 
 
 def test_hundreds_of_rentals_and_deletions_take_few_calls_within_the_rate() -> None:
-    cloud, book, one = fleet()
+    cloud, cluster, one = fleet()
 
     async def main() -> None:
         running = asyncio.create_task(one.run())
         for number in range(500_000, 500_300):
-            one.give_up(machine(book, number), "silent")
+            one.give_up(machine(cluster, number), "silent")
         for _ in range(40):
             one.order(KIND, 7, pool=True)
         await asyncio.sleep(12)
@@ -100,12 +100,12 @@
     for start in range(10):
         within = [at for at, _, _ in cloud.calls if start <= at < start + 2]
         assert len(within) <= 2 * 2.0 + 2 * 2.0
-    assert len(book.machines) == 280 and len(book.gone) == 300
+    assert len(cluster.machines) == 280 and len(cluster.gone) == 300
 
 
 def test_lists_that_lag_prove_neither_life_nor_death() -> None:
-    cloud, book, one = fleet()
-    up, booting = machine(book, 1), machine(book, 2, MachineState.BOOTING)
+    cloud, cluster, one = fleet()
+    up, booting = machine(cluster, 1), machine(cluster, 2, MachineState.BOOTING)
     seen = Listed(up.name, "small", "east", True, "running", 10.0)
     one.take_list([seen])
     # New ones are missing at first, and an older list may follow a newer one.
@@ -122,19 +122,19 @@
     one.take_list([])
     assert up.state.name == "DELETING"
     # One that was deleted is no news when a late list still names it.
-    book.bury(up, cloud.loop.clock())
+    cluster.bury(up, cloud.loop.clock())
     one.take_list([seen])
-    assert up.name not in book.machines
+    assert up.name not in cluster.machines
     # Names are not kept for ever.
-    book.bury(booting, cloud.loop.clock() + REMEMBERED * 2)
-    assert set(book.gone) == {booting.name}
+    cluster.bury(booting, cloud.loop.clock() + REMEMBERED * 2)
+    assert set(cluster.gone) == {booting.name}
     cloud.loop.close()
 
 
 def test_after_a_standstill_machines_are_heard_before_they_are_judged() -> None:
     """Their reports wait unread; judged at once, a whole fleet would be taken for silent."""
-    cloud, book, one = fleet()
-    some = [machine(book, number) for number in range(50)]
+    cloud, cluster, one = fleet()
+    some = [machine(cluster, number) for number in range(50)]
 
     def report() -> None:
         for up in some:
--- a/src/elmthread/intake/jobs.py
+++ b/src/elmthread/intake/jobs.py
@@ -10,7 +10,7 @@
 from elmthread.ledger.done_marks import bitmap_chunk_tasks, chunk_tasks
 from elmthread.ledger.log import slot_bytes, text_of, weight
 from elmthread.ledger.records import job_key, job_record
-from elmthread.placement.book import Job
+from elmthread.placement.cluster import Job
 from elmthread.placement.decide import Want
 from elmthread.placement.service import may_ever_run
 from elmthread.rollout.features import ActiveFeatures, Feature
--- a/src/elmthread/intake/service.py
+++ b/src/elmthread/intake/service.py
@@ -14,7 +14,7 @@
 from elmthread.ledger.done_marks import done_record
 from elmthread.ledger.records import done_key, job_key, job_record
 from elmthread.ledger.writer import Rank, Writer, WriterStoppedError
-from elmthread.placement.book import Book, Job, JobState, Machine
+from elmthread.placement.cluster import ClusterState, Job, JobState, Machine
 from elmthread.rollout.features import ActiveFeatures
 
 log = logging.getLogger(__name__)
@@ -33,7 +33,7 @@
 class Intake:
     def __init__(
         self,
-        book: Book,
+        cluster: ClusterState,
         term: Term,
         writer: Writer,
         clock: Clock,
@@ -50,7 +50,7 @@
         self._most_waiting = most_waiting
         self._cancel = cancel
         self._empty_by = empty_by
-        self._book = book
+        self._cluster = cluster
         self._term = term
         self._writer = writer
         self._clock = clock
@@ -70,7 +70,7 @@
         return self._term.leads()
 
     async def submit(self, job_id: str, job: Submission | None, fault: str | None) -> Response:
-        known = self._book.jobs.get(job_id)
+        known = self._cluster.jobs.get(job_id)
         if known is None:
             if fault is not None or job is None:
                 return Response(400, {"error": fault or "malformed"})
@@ -83,7 +83,7 @@
             if busy is not None:
                 return busy
             known = self._new_job(job, self._clock())
-            self._book.add_job(known)
+            self._cluster.add_job(known)
             log.info("%s: %s of %s, %s tasks of %s cpus", job.id, job.job_class, job.team, job.tasks, job.cpus)
             self._store(known)
         created = known.stored is None
@@ -142,7 +142,7 @@
         return None
 
     def status(self, job_id: str) -> Response:
-        job = self._book.jobs.get(job_id)
+        job = self._cluster.jobs.get(job_id)
         if job is None:
             return Response(404, {"error": "no such job"})
         if job.stored is None:
@@ -151,7 +151,7 @@
         return self._tell(job, Response(200, self._describe(job)))
 
     async def withdraw(self, job_id: str) -> Response:
-        job = self._book.jobs.get(job_id)
+        job = self._cluster.jobs.get(job_id)
         if job is None:
             return Response(404, {"error": "no such job"})
         if job.stored is None:
@@ -162,7 +162,7 @@
             busy = self._too_busy()
             if busy is not None:
                 return busy
-            self._book.close_job(job, JobState.CANCELLED)
+            self._cluster.close_job(job, JobState.CANCELLED)
             self._store(job)
             self._changed()
         if job.stored is not job.state:
@@ -187,7 +187,7 @@
         state told: an earlier leader may have told this one.
         """
         if job.stored is JobState.CANCELLED:
-            gone = max((self._empty_by(hold.machine) for hold in job.live.values()), default=ZERO)
+            gone = max((self._empty_by(allocation.machine) for allocation in job.live.values()), default=ZERO)
             early = gone - self._clock() - at_most(self._cancel) + LATE
             if early > ZERO:
                 log.info("%s is cancelled, which can't be told for %.1f s", job.id, early.total_seconds())
@@ -205,7 +205,7 @@
     def finished(self, job: Job, task: int, durable: Callable[[], None]) -> None:
         """A task is done: recorded before the worker may forget it, and before users hear."""
         if job.count_done == job.total:
-            self._book.close_job(job, JobState.DONE)
+            self._cluster.close_job(job, JobState.DONE)
 
             def stored() -> None:
                 job.stored = job.writing
--- a/src/elmthread/intake/tests/test_service.py
+++ b/src/elmthread/intake/tests/test_service.py
@@ -10,7 +10,7 @@
 from elmthread.intake.messages import Submission, read_submission
 from elmthread.intake.service import DURABLE_TIME, Intake
 from elmthread.ledger.writer import Rank
-from elmthread.placement.book import Book, Job, JobState
+from elmthread.placement.cluster import ClusterState, Job, JobState
 from elmthread.rollout.features import ActiveFeatures
 from tests.world.loop import SimLoop, play
 from tests.world.world import job as wire
@@ -54,7 +54,7 @@
         return Job(spec, datetime.now(UTC), since, seconds(60), 1.5, False, 64)
 
     one = Intake(
-        Book(100),
+        ClusterState(100),
         lease,  # type: ignore[arg-type]
         store,  # type: ignore[arg-type]
         loop.clock,
@@ -127,6 +127,6 @@
         assert (await one.submit(spec.id, spec, None)).status == 422
         assert (await one.submit("run-000012", None, "cpus: missing")).status == 400
         assert loop.now - began < 0.01
-        assert one._book.jobs["run-000003"].state is JobState.OPEN
+        assert one._cluster.jobs["run-000003"].state is JobState.OPEN
 
     play(main(), loop)
--- a/src/elmthread/ledger/assignments.py
+++ b/src/elmthread/ledger/assignments.py
@@ -12,7 +12,7 @@
 
 from elmthread.ledger.log import text_of, weight
 from elmthread.ledger.records import machine_key
-from elmthread.placement.book import Machine
+from elmthread.placement.cluster import Machine
 from elmthread.rollout.features import ActiveFeatures, Feature, SupportedLevels
 
 
@@ -67,8 +67,8 @@
 
 def _pairs_record(machine: Machine) -> MachineRecord:
     holds: dict[str, list[int]] = {}
-    for hold in machine.holds.values():
-        holds.setdefault(hold.job.id, []).extend((hold.task, hold.attempt))
+    for allocation in machine.allocations.values():
+        holds.setdefault(allocation.job.id, []).extend((allocation.task, allocation.attempt))
     return MachineRecord(machine.build, machine.zone, machine.spot, machine.pool, holds)
 
 
--- a/src/elmthread/ledger/loading.py
+++ b/src/elmthread/ledger/loading.py
@@ -20,7 +20,7 @@
 from elmthread.ledger.log import SLOTS, Slots, UnreadableRecordError
 from elmthread.ledger.records import LAYOUT
 from elmthread.ledger.writer import Rank, Writer
-from elmthread.placement.book import Book, HoldState, Job, JobState, Machine, MachineState
+from elmthread.placement.cluster import AllocationState, ClusterState, Job, JobState, Machine, MachineState
 from elmthread.rollout import messages as rollout_messages
 from elmthread.rollout.features import SupportedLevels
 from elmthread.rollout.term import TermRollout
@@ -38,7 +38,7 @@
         state: StateClient,
         slots: Slots,
         writer: Writer,
-        book: Book,
+        cluster: ClusterState,
         jobs: Jobs,
         clock: Clock,
         set_types: Callable[[list[Type]], None],
@@ -51,7 +51,7 @@
         self._state = state
         self._slots = slots
         self._writer = writer
-        self._book = book
+        self._cluster = cluster
         self._jobs = jobs
         self._clock = clock
         self._set_types = set_types
@@ -87,15 +87,15 @@
                         await asyncio.sleep(0)
         if self._types:
             self._set_types(list(self._types.values()))
-        for job in list(self._book.open_jobs.values()):
+        for job in list(self._cluster.open_jobs.values()):
             job.refill()
             if job.count_done == job.total:
                 self._finished(job, 0, lambda: None)
         log.info(
             "loaded %s jobs, %s of them open, and %s machines",
-            len(self._book.jobs),
-            len(self._book.open_jobs),
-            len(self._book.machines),
+            len(self._cluster.jobs),
+            len(self._cluster.open_jobs),
+            len(self._cluster.machines),
         )
 
     async def _adopt_earlier_layout(self, view: dict[str, Any]) -> None:
@@ -148,11 +148,11 @@
             job.pending.clear()
         if state is JobState.DONE:
             job.count_done = job.total
-        self._book.add_job(job)
+        self._cluster.add_job(job)
 
     def _read_marks(self, key: str, value: Any) -> None:
         _, job_id, chunk = key.split("/")
-        job = self._book.jobs.get(job_id)
+        job = self._cluster.jobs.get(job_id)
         if job is not None and job.open:
             mark_done(job, int(chunk), read_done(value, self._supported))
         else:
@@ -170,14 +170,14 @@
         name = key.removeprefix("m/")
         machine = Machine(name, record.build, record.zone, record.spot, MachineState.UNSURE, self._clock())
         machine.pool = record.pool
-        self._book.add_machine(machine)
+        self._cluster.add_machine(machine)
         for job_id, numbers in record.holds.items():
-            job = self._book.jobs.get(job_id)
+            job = self._cluster.jobs.get(job_id)
             if job is None:
                 continue
             for task, attempt in zip(numbers[::2], numbers[1::2], strict=True):
                 if not job.is_done(task) and job.state is not JobState.DONE:
-                    self._book.hold(machine, job, task, attempt, HoldState.UNSEEN)
+                    self._cluster.allocate(machine, job, task, attempt, AllocationState.UNSEEN)
 
 
 def _finished_spec(job_id: str, tasks: int) -> Submission:
--- a/src/elmthread/ledger/records.py
+++ b/src/elmthread/ledger/records.py
@@ -13,7 +13,7 @@
 from elmthread.fleet.messages import Type
 from elmthread.intake.messages import Submission
 from elmthread.ledger.log import text_of, weight
-from elmthread.placement.book import Job, JobState
+from elmthread.placement.cluster import Job, JobState
 
 LEADER = "leader"
 TYPES = "t/types"
--- a/src/elmthread/ledger/tests/test_assignments.py
+++ b/src/elmthread/ledger/tests/test_assignments.py
@@ -10,7 +10,7 @@
 from elmthread.common.clock import ZERO
 from elmthread.ledger.assignments import AssignmentRunsRecord, MachineRecord, machine_record, read_machine
 from elmthread.ledger.log import text_of
-from elmthread.placement.book import Machine, MachineState
+from elmthread.placement.cluster import Machine, MachineState
 from elmthread.rollout.features import SUPPORTED, ActiveFeatures, SupportedLevels
 
 BEFORE = SupportedLevels(1, 1)
@@ -28,7 +28,7 @@
     machine = Machine("m-000001", "small", "east", True, MachineState.UP, ZERO)
     machine.pool = True
     for one in assigned:
-        machine.holds[one[2]] = Held(*one)  # type: ignore[assignment]
+        machine.allocations[one[2]] = Held(*one)  # type: ignore[assignment]
     return machine
 
 
--- a/src/elmthread/placement/book.py
+++ b/src/elmthread/placement/cluster.py
@@ -1,8 +1,8 @@
-"""The leader's view: jobs, machines, and which machine may hold which task.
+"""The leader's view: jobs, machines, and which task may be on which machine.
 
-A hold is a claim that a task may be on a machine. Holds are made before a start can be
+An allocation says that a task may be on a machine. Allocations are made before a start can be
 sent and dropped only on proof that the task is not there, so what is counted here is never
-less than what really runs. Quota, zones and the one-copy rule are all judged by holds.
+less than what really runs. Quota, zones and the one-copy rule are all judged by allocations.
 """
 
 from collections import deque
@@ -98,7 +98,7 @@
         self.count_done = 0
         self.pending: deque[int] = deque(range(spec.tasks))
         self.held: dict[int, int] = {}
-        self.live: dict[int, Hold] = {}
+        self.live: dict[int, Allocation] = {}
         # Tasks seen running, for display.
         self.running = 0
         self.zones: dict[str, int] = {}
@@ -136,7 +136,7 @@
         return self.state is JobState.OPEN
 
 
-class HoldState(Enum):
+class AllocationState(Enum):
     PLANNED = auto()  # not yet durable: must not be sent
     READY = auto()  # durable: goes out with each report's answer until it is seen
     UNSEEN = auto()  # from the store, of an earlier leader: may be there
@@ -145,14 +145,14 @@
     SAVING = auto()
 
 
-SEEN = frozenset({HoldState.FETCHING, HoldState.RUNNING, HoldState.SAVING})
-HOLD_STEPS = {
-    HoldState.PLANNED: frozenset({HoldState.READY}),
-    HoldState.READY: SEEN,
-    HoldState.UNSEEN: SEEN,
-    HoldState.FETCHING: SEEN,
-    HoldState.RUNNING: SEEN,
-    HoldState.SAVING: SEEN,
+SEEN = frozenset({AllocationState.FETCHING, AllocationState.RUNNING, AllocationState.SAVING})
+ALLOCATION_STEPS = {
+    AllocationState.PLANNED: frozenset({AllocationState.READY}),
+    AllocationState.READY: SEEN,
+    AllocationState.UNSEEN: SEEN,
+    AllocationState.FETCHING: SEEN,
+    AllocationState.RUNNING: SEEN,
+    AllocationState.SAVING: SEEN,
 }
 
 
@@ -161,10 +161,10 @@
     KILL = auto()
 
 
-class Hold:
+class Allocation:
     __slots__ = ("attempt", "job", "machine", "sent", "started_at", "state", "stop", "task")
 
-    def __init__(self, job: Job, task: int, attempt: int, machine: "Machine", state: HoldState) -> None:
+    def __init__(self, job: Job, task: int, attempt: int, machine: "Machine", state: AllocationState) -> None:
         self.job = job
         self.task = task
         self.attempt = attempt
@@ -174,11 +174,11 @@
         self.sent = False
         self.started_at: timedelta | None = None
 
-    def move(self, new: HoldState) -> None:
+    def move(self, new: AllocationState) -> None:
         if new is self.state:
             return
-        self.job.running += (new is HoldState.RUNNING) - (self.state is HoldState.RUNNING)
-        self.state = step(self.job.id, HOLD_STEPS, self.state, new)
+        self.job.running += (new is AllocationState.RUNNING) - (self.state is AllocationState.RUNNING)
+        self.state = step(self.job.id, ALLOCATION_STEPS, self.state, new)
 
 
 class MachineState(Enum):
@@ -221,7 +221,7 @@
         "fading_since",
         "failures",
         "fetch_rate",
-        "holds",
+        "allocations",
         "images",
         "kept",
         "known_since",
@@ -265,7 +265,7 @@
         self.cpus_used = self.cards_used = self.ram_used = 0.0
         self.fetch_rate = 1.0
         self.price = 0.0
-        self.holds: dict[int, Hold] = {}
+        self.allocations: dict[int, Allocation] = {}
         self.newest = (0, 0)
         self.silent_sessions = 0
         self.reported_at: timedelta | None = None
@@ -345,7 +345,7 @@
     return len(str(task)) + len(str(attempt)) + 2
 
 
-class Book:
+class ClusterState:
     """All jobs and machines, and the counts that the rules are judged by."""
 
     def __init__(self, most_record: int, frame: Callable[[Machine], int] = lambda machine: 0) -> None:
@@ -386,9 +386,9 @@
         job.move(state)
         self.open_jobs.pop(job.id, None)
 
-    def hold(self, machine: Machine, job: Job, task: int, attempt: int, state: HoldState) -> Hold:
-        hold = Hold(job, task, attempt, machine, state)
-        machine.holds[attempt] = hold
+    def allocate(self, machine: Machine, job: Job, task: int, attempt: int, state: AllocationState) -> Allocation:
+        allocation = Allocation(job, task, attempt, machine, state)
+        machine.allocations[attempt] = allocation
         spec = job.spec
         machine.cpus_used += spec.cpus
         if job.urgent:
@@ -404,47 +404,47 @@
         self.cpus_of[spec.team] = self.cpus_of.get(spec.team, 0.0) + spec.cpus
         self.cards_of[spec.team] = self.cards_of.get(spec.team, 0.0) + spec.cards
         job.held[task] = job.held.get(task, 0) + 1
-        job.live[attempt] = hold
+        job.live[attempt] = allocation
         job.zones[machine.zone] = job.zones.get(machine.zone, 0) + 1
-        return hold
+        return allocation
 
-    def drop(self, hold: Hold, now: timedelta) -> None:
-        """The task is surely not on the machine; if nothing else holds it, it waits again."""
-        machine, job, spec = hold.machine, hold.job, hold.job.spec
-        del machine.holds[hold.attempt]
+    def drop(self, allocation: Allocation, now: timedelta) -> None:
+        """The task is surely not on the machine; if no other allocation has it, it waits again."""
+        machine, job, spec = allocation.machine, allocation.job, allocation.job.spec
+        del machine.allocations[allocation.attempt]
         machine.cpus_used -= spec.cpus
         if job.urgent:
             machine.urgent_cpus -= spec.cpus
         if job.daemon:
             machine.standing_cpus -= spec.cpus
-        machine.record_size -= task_size(hold.task, hold.attempt)
+        machine.record_size -= task_size(allocation.task, allocation.attempt)
         machine.tasks_of[job.id] -= 1
         if not machine.tasks_of[job.id]:
             del machine.tasks_of[job.id]
             machine.record_size -= entry_size(job.id)
-        if hold.state is HoldState.RUNNING:
+        if allocation.state is AllocationState.RUNNING:
             job.running -= 1
         machine.cards_used -= spec.cards
         machine.ram_used -= spec.ram_gb
-        if not machine.holds:
+        if not machine.allocations:
             machine.cpus_used = machine.cards_used = machine.ram_used = 0.0
             machine.urgent_cpus = machine.standing_cpus = 0.0
             machine.empty_since = now
         self.cpus_of[spec.team] -= spec.cpus
         self.cards_of[spec.team] -= spec.cards
-        del job.live[hold.attempt]
+        del job.live[allocation.attempt]
         job.zones[machine.zone] -= 1
         if not job.zones[machine.zone]:
             del job.zones[machine.zone]
-        job.held[hold.task] -= 1
-        if not job.held[hold.task]:
-            del job.held[hold.task]
-            if job.open and not job.is_done(hold.task):
-                job.pending.appendleft(hold.task)
+        job.held[allocation.task] -= 1
+        if not job.held[allocation.task]:
+            del job.held[allocation.task]
+            if job.open and not job.is_done(allocation.task):
+                job.pending.appendleft(allocation.task)
 
     def drop_all(self, machine: Machine, now: timedelta) -> None:
-        for hold in list(machine.holds.values()):
-            self.drop(hold, now)
+        for allocation in list(machine.allocations.values()):
+            self.drop(allocation, now)
 
     def up(self) -> Iterator[Machine]:
         return (machine for machine in self.machines.values() if machine.state is MachineState.UP)
--- a/src/elmthread/placement/service.py
+++ b/src/elmthread/placement/service.py
@@ -1,4 +1,4 @@
-"""Applies the placement decisions to the book: holds for what starts, stops for what gives way."""
+"""Applies the placement decisions to the cluster state: allocations for what starts, stops for what gives way."""
 
 import logging
 import math
@@ -8,7 +8,17 @@
 from datetime import timedelta
 
 from elmthread.common.clock import ZERO, Clock, seconds
-from elmthread.placement.book import Book, Hold, HoldState, Job, JobState, Machine, Stop, entry_size, task_size
+from elmthread.placement.cluster import (
+    Allocation,
+    AllocationState,
+    ClusterState,
+    Job,
+    JobState,
+    Machine,
+    Stop,
+    entry_size,
+    task_size,
+)
 from elmthread.placement.decide import Room, Slot, Victim, Want, fits, place, preempt
 from elmthread.settings.platform import Team
 from elmthread.sizing.decide import Line, forsaken
@@ -37,7 +47,7 @@
 class Placement:
     def __init__(
         self,
-        book: Book,
+        cluster: ClusterState,
         teams: dict[str, Team],
         clock: Clock,
         next_attempt: Callable[[], int],
@@ -47,7 +57,7 @@
         expected: Callable[[Job], timedelta],
         forgive: Callable[[Job, timedelta], None],
     ) -> None:
-        self._book = book
+        self._cluster = cluster
         self._teams = teams
         self._clock = clock
         self._next_attempt = next_attempt
@@ -75,16 +85,16 @@
             self.waiting = False
             return
         rooms = self.rooms()
-        machines = [machine for machine in self._book.up() if machine.open and machine.cpus > machine.cpus_used]
-        slots = {machine.name: _slot(machine, self._book) for machine in machines}
+        machines = [machine for machine in self._cluster.up() if machine.open and machine.cpus > machine.cpus_used]
+        slots = {machine.name: _slot(machine, self._cluster) for machine in machines}
         touched: dict[str, Machine] = {}
         left = MOST_PLACED
         for want, slot, count in place(wants, slots.values(), rooms):
-            machine = self._book.machines[slot.name]
-            job = self._book.jobs[want.job]
+            machine = self._cluster.machines[slot.name]
+            job = self._cluster.jobs[want.job]
             for _ in range(min(count, left)):
                 task = job.pending.popleft()
-                self._book.hold(machine, job, task, self._next_attempt(), HoldState.PLANNED)
+                self._cluster.allocate(machine, job, task, self._next_attempt(), AllocationState.PLANNED)
                 touched[machine.name] = machine
             left -= count
             if left <= 0:
@@ -104,8 +114,8 @@
     def rooms(self) -> dict[str, Room]:
         return {
             name: Room(
-                team.cpu_limit - self._book.cpus_of.get(name, 0.0),
-                team.card_limit - self._book.cards_of.get(name, 0.0),
+                team.cpu_limit - self._cluster.cpus_of.get(name, 0.0),
+                team.card_limit - self._cluster.cards_of.get(name, 0.0),
             )
             for name, team in self._teams.items()
         }
@@ -118,7 +128,7 @@
             self._last = self._put_off(now)
         wants: list[Want] = []
         put_off: list[tuple[timedelta, Want]] = []
-        for job in self._book.open_jobs.values():
+        for job in self._cluster.open_jobs.values():
             count = len(job.pending)
             if not count or job.stored is not JobState.OPEN or job.retry_at > now:
                 continue
@@ -151,9 +161,9 @@
     def _part(self, put_off: list[tuple[timedelta, Want]]) -> list[Want]:
         """Tasks of jobs put off for long that go in turn with the others all the same."""
         turns = []
-        cores = PART * sum(machine.cpus for machine in self._book.up() if machine.open)
+        cores = PART * sum(machine.cpus for machine in self._cluster.up() if machine.open)
         for _, want in sorted(put_off, key=lambda one: one[0]):
-            cores -= len(self._book.jobs[want.job].live) * want.cpus
+            cores -= len(self._cluster.jobs[want.job].live) * want.cpus
             count = min(want.count, int(cores / want.cpus))
             if count > 0:
                 cores -= count * want.cpus
@@ -164,7 +174,7 @@
         """Jobs that fit their team's guarantee together with the team's earlier unfinished ones."""
         used: dict[str, float] = {}
         inside: set[str] = set()
-        for job in sorted(self._book.open_jobs.values(), key=lambda job: job.since):
+        for job in sorted(self._cluster.open_jobs.values(), key=lambda job: job.since):
             team = self._teams.get(job.spec.team)
             if team is None or not team.cpus:
                 continue
@@ -185,7 +195,7 @@
         urgent: dict[str, float] = {}
         # Replicas have no end: what they hold, or soon will, is no team's to share out.
         standing: dict[str, float] = {}
-        for job in self._book.open_jobs.values():
+        for job in self._cluster.open_jobs.values():
             team = self._teams.get(job.spec.team)
             if team is None:
                 continue
@@ -208,7 +218,7 @@
             own_cores = self._teams[name].cpu_limit - standing.get(name, 0.0)
             if own_cores > 0:
                 last |= forsaken(line, own_cores, urgent.get(name, 0.0))
-        cores = sum(machine.cpus for machine in self._book.machines.values() if machine.serves(now))
+        cores = sum(machine.cpus for machine in self._cluster.machines.values() if machine.serves(now))
         cores -= sum(standing.values())
         if cores > 0:
             rest = [one for line in lines.values() for one in line if one.job not in last]
@@ -239,19 +249,19 @@
             entry=entry_size(job.id),
             each=task_size(job.total, self._attempts() + MOST_PLACED),
             machine_most=math.ceil(job.total / APART) if job.daemon else math.inf,
-            machines=Counter(hold.machine.name for hold in job.live.values()) if job.daemon else {},
+            machines=Counter(allocation.machine.name for allocation in job.live.values()) if job.daemon else {},
         )
 
     def _make_room(self, wants: list[Want], rooms: dict[str, Room], now: timedelta) -> None:
         """Urgent work that lacks room requeues deferrable work."""
-        slots = {machine.name: _slot(machine, self._book) for machine in self._book.up() if machine.open}
+        slots = {machine.name: _slot(machine, self._cluster) for machine in self._cluster.up() if machine.open}
         victims: dict[str, list[Victim]] = {}
         for name, slot in slots.items():
-            machine = self._book.machines[name]
+            machine = self._cluster.machines[name]
             held = victims[name] = []
-            for hold in machine.holds.values():
-                spec = hold.job.spec
-                if hold.stop is not None:
+            for allocation in machine.allocations.values():
+                spec = allocation.job.spec
+                if allocation.stop is not None:
                     # Already on its way out: its room is not asked for twice.
                     slot.cpus += spec.cpus
                     slot.cards += spec.cards
@@ -259,20 +269,20 @@
                     rooms[spec.team].cpus += spec.cpus
                     rooms[spec.team].cards += spec.cards
                 elif (
-                    not hold.job.urgent
-                    and hold.state is not HoldState.SAVING
-                    and not (len(hold.job.live) == 1 and _unbegun(hold.job, now))
+                    not allocation.job.urgent
+                    and allocation.state is not AllocationState.SAVING
+                    and not (len(allocation.job.live) == 1 and _unbegun(allocation.job, now))
                 ):
                     held.append(
                         Victim(
-                            hold.attempt,
+                            allocation.attempt,
                             machine.name,
                             spec.team,
                             spec.cpus,
                             spec.cards,
                             spec.ram_gb,
-                            self._loss(hold, now),
-                            hold.job.rank,
+                            self._loss(allocation, now),
+                            allocation.job.rank,
                         )
                     )
         place(wants, slots.values(), rooms)
@@ -280,57 +290,57 @@
             if want.count <= 0:
                 continue
             for victim in preempt(want, slots, victims, rooms[want.team]):
-                hold = self._book.machines[victim.machine].holds[victim.attempt]
-                log.debug("%s/%s gives way to %s", hold.job.id, hold.task, want.job)
-                hold.stop = Stop.SAVE
+                allocation = self._cluster.machines[victim.machine].allocations[victim.attempt]
+                log.debug("%s/%s gives way to %s", allocation.job.id, allocation.task, want.job)
+                allocation.stop = Stop.SAVE
 
-    def _loss(self, hold: Hold, now: timedelta) -> timedelta:
-        if hold.started_at is None:
+    def _loss(self, allocation: Allocation, now: timedelta) -> timedelta:
+        if allocation.started_at is None:
             return ZERO
-        if hold.job.spec.saves:
-            return seconds(hold.job.spec.save_s)
-        return now - hold.started_at
+        if allocation.job.spec.saves:
+            return seconds(allocation.job.spec.save_s)
+        return now - allocation.started_at
 
     def _stop_for_recall(self, now: timedelta) -> None:
         """On a machine that will be taken: what can't end in time is stopped, saved if it can be."""
-        for machine in self._book.up():
+        for machine in self._cluster.up():
             if machine.recall_at is None:
                 continue
             left = machine.recall_at - now
-            for hold in machine.holds.values():
-                if hold.stop is not None or self._ends_within(hold, left, now):
+            for allocation in machine.allocations.values():
+                if allocation.stop is not None or self._ends_within(allocation, left, now):
                     continue
-                if hold.job.daemon and not self._should_move(hold, left):
+                if allocation.job.daemon and not self._should_move(allocation, left):
                     continue
-                hold.stop = Stop.SAVE
+                allocation.stop = Stop.SAVE
 
-    def _should_move(self, hold: Hold, left: timedelta) -> bool:
+    def _should_move(self, allocation: Allocation, left: timedelta) -> bool:
         """A replica is moved as soon as another machine has room for it; until then it serves on."""
-        stopping = self._report * LAST_CALL + seconds(hold.job.spec.save_s)
-        if hold.started_at is None or left < stopping:
+        stopping = self._report * LAST_CALL + seconds(allocation.job.spec.save_s)
+        if allocation.started_at is None or left < stopping:
             return True
-        return self.has_room(hold)
+        return self.has_room(allocation)
 
-    def has_room(self, hold: Hold) -> bool:
+    def has_room(self, allocation: Allocation) -> bool:
         """Another machine has room for the task, once it is off this one."""
-        want = self.want_of(hold.job)
-        zone = hold.machine.zone
+        want = self.want_of(allocation.job)
+        zone = allocation.machine.zone
         if zone in want.zones:
             want.zones[zone] -= 1
         return any(
-            fits(want, _slot(machine, self._book), Room())
-            for machine in self._book.up()
-            if machine.open and not machine.fading and machine is not hold.machine and machine.free >= want.cpus
+            fits(want, _slot(machine, self._cluster), Room())
+            for machine in self._cluster.up()
+            if machine.open and not machine.fading and machine is not allocation.machine and machine.free >= want.cpus
         )
 
     def want_of(self, job: Job) -> Want:
         """One task of the job, whether any waits or not."""
         return self._want(job, (), 1)
 
-    def _ends_within(self, hold: Hold, left: timedelta, now: timedelta) -> bool:
-        if hold.started_at is None or hold.job.daemon:
+    def _ends_within(self, allocation: Allocation, left: timedelta, now: timedelta) -> bool:
+        if allocation.started_at is None or allocation.job.daemon:
             return False
-        return self._expected(hold.job) - (now - hold.started_at) < left
+        return self._expected(allocation.job) - (now - allocation.started_at) < left
 
 
 def _unbegun(job: Job, now: timedelta) -> bool:
@@ -344,11 +354,11 @@
     return replace(want, order=order, count=count)
 
 
-# A hold in one of these states has its image fetched still.
-_COMING = frozenset({HoldState.PLANNED, HoldState.READY, HoldState.FETCHING})
+# An allocation in one of these states has its image fetched still.
+_COMING = frozenset({AllocationState.PLANNED, AllocationState.READY, AllocationState.FETCHING})
 
 
-def _slot(machine: Machine, book: Book) -> Slot:
+def _slot(machine: Machine, cluster: ClusterState) -> Slot:
     return Slot(
         name=machine.name,
         build=machine.build,
@@ -361,11 +371,11 @@
         fetch_rate=machine.fetch_rate,
         images=machine.images,
         coming={
-            hold.job.spec.image
-            for hold in machine.holds.values()
-            if hold.state in _COMING and hold.job.spec.image not in machine.images
+            allocation.job.spec.image
+            for allocation in machine.allocations.values()
+            if allocation.state in _COMING and allocation.job.spec.image not in machine.images
         },
-        record_left=book.record_left(machine),
+        record_left=cluster.record_left(machine),
         fading=machine.fading,
     )
 
--- a/src/elmthread/placement/tests/test_order.py
+++ b/src/elmthread/placement/tests/test_order.py
@@ -6,7 +6,7 @@
 
 from elmthread.common.clock import ZERO, seconds
 from elmthread.intake.messages import read_submission
-from elmthread.placement.book import Book, HoldState, Job, JobState, Machine, MachineState
+from elmthread.placement.cluster import AllocationState, ClusterState, Job, JobState, Machine, MachineState
 from elmthread.placement.service import BEGIN, PART, Placement
 from elmthread.settings.platform import Team
 from tests.world.world import job as wire
@@ -15,12 +15,12 @@
 RUN = seconds(20)
 
 
-def cluster(rng: random.Random) -> tuple[Book, Placement]:
-    book = Book(1000)
+def make_cluster(rng: random.Random) -> tuple[ClusterState, Placement]:
+    cluster = ClusterState(1000)
     for number in range(rng.randint(1, 6)):
         machine = Machine(f"m-{number}", "large", "east", False, MachineState.UP, ZERO)
         machine.cpus, machine.ram = 16.0, 64.0
-        book.add_machine(machine)
+        cluster.add_machine(machine)
     attempt = 0
     for number in range(rng.randint(1, 25)):
         urgent = rng.random() < 0.3
@@ -35,16 +35,16 @@
         since = NOW - seconds(rng.uniform(0, 600))
         job = Job(spec, datetime.now(UTC), since, seconds(rng.choice([60, 120, 200])), 1.5, urgent, 64)
         job.stored = JobState.OPEN
-        book.add_job(job)
+        cluster.add_job(job)
         if rng.random() < 0.4:
             for _ in range(min(job.total, 3)):
                 attempt += 1
-                book.hold(book.machines["m-0"], job, job.pending.popleft(), attempt, HoldState.READY)
+                cluster.allocate(cluster.machines["m-0"], job, job.pending.popleft(), attempt, AllocationState.READY)
         if rng.random() < 0.3:
             job.set_done(job.total - 1)
     teams = {"red": Team("red", cpus=16.0, cpus_max=48.0), "blue": Team("blue")}
     placement = Placement(
-        book,
+        cluster,
         teams,
         lambda: NOW,
         lambda: 1,
@@ -54,14 +54,14 @@
         lambda job: RUN,
         lambda job, now: None,
     )
-    return book, placement
+    return cluster, placement
 
 
 def test_order_is_the_plain_one_and_lets_everybody_begin() -> None:
     for seed in range(200):
-        book, placement = cluster(random.Random(seed))
+        cluster, placement = make_cluster(random.Random(seed))
         wants = placement.wants(NOW)
-        waiting = Counter({job.id: len(job.pending) for job in book.open_jobs.values() if job.pending})
+        waiting = Counter({job.id: len(job.pending) for job in cluster.open_jobs.values() if job.pending})
         given: Counter[str] = Counter()
         for want in wants:
             assert want.count >= 0
@@ -73,7 +73,7 @@
             if want.count:
                 places.setdefault(want.job, []).append(place)
         for job_id, where in places.items():
-            job = book.jobs[job_id]
+            job = cluster.jobs[job_id]
             waited = NOW - job.since
             begun = bool(job.live or job.count_done)
             first = wants[where[0]]
@@ -81,17 +81,17 @@
                 # Nothing that has begun, or came later than BEGIN, stands before it.
                 assert first.count == 1
                 for want in wants[: where[0]]:
-                    other = book.jobs[want.job]
+                    other = cluster.jobs[want.job]
                     assert not want.count or (NOW - other.since > BEGIN and not other.live and not other.count_done)
             elif job.urgent:
                 for want in wants[: where[0]]:
-                    other = book.jobs[want.job]
+                    other = cluster.jobs[want.job]
                     old = NOW - other.since > BEGIN and not other.live and not other.count_done
                     assert not want.count or other.urgent or (old and want.count == 1)
         # Otherwise: urgent by rank and deadline, then what fits a guarantee, then by deadline.
         assert [want.order for want in wants] == sorted(want.order for want in wants)
         # Jobs put off that go in turn all the same share a part of the cores.
-        cores = sum(machine.cpus for machine in book.machines.values())
+        cores = sum(machine.cpus for machine in cluster.machines.values())
         put_off = {want.job for want in wants if want.order[:2] == (1.0, 2.0)}
         turns = [want for want in wants if want.job in put_off and want.order[:2] == (1.0, 1.0)]
         assert sum(want.count * want.cpus for want in turns) <= PART * cores
--- a/src/elmthread/sizing/service.py
+++ b/src/elmthread/sizing/service.py
@@ -10,7 +10,7 @@
 
 from elmthread.common.clock import Clock, seconds
 from elmthread.fleet.service import Fleet, Kind
-from elmthread.placement.book import Book, Hold, Job, Machine, MachineState, Stop
+from elmthread.placement.cluster import Allocation, ClusterState, Job, Machine, MachineState, Stop
 from elmthread.placement.decide import Room, Slot, Want, allowed
 from elmthread.placement.service import Placement
 from elmthread.settings.operators import Operators
@@ -45,14 +45,14 @@
 class Sizing:
     def __init__(
         self,
-        book: Book,
+        cluster: ClusterState,
         fleet: Fleet,
         placement: Placement,
         expected: Callable[[Job], timedelta],
         operators: Operators,
         clock: Clock,
     ) -> None:
-        self._book = book
+        self._cluster = cluster
         self._fleet = fleet
         self._placement = placement
         self._expected = expected
@@ -75,7 +75,7 @@
         self._whole.clear()
         self._held.clear()
         self._serving.clear()
-        for machine in self._book.machines.values():
+        for machine in self._cluster.machines.values():
             if machine.serves(now):
                 self._serving.setdefault((machine.build, machine.zone, machine.spot), []).append(machine)
         wants = self._placement.wants(now)
@@ -95,18 +95,18 @@
         use no spot machine, or no more than half of them in one zone, wait beside any number
         of cores of the wrong kind.
         """
-        daemons = [job for job in self._book.open_jobs.values() if job.daemon]
+        daemons = [job for job in self._cluster.open_jobs.values() if job.daemon]
         self._services_run = bool(daemons)
         if not daemons:
             self._services.growth(now, 0.0)
-            for machine in self._book.machines.values():
+            for machine in self._cluster.machines.values():
                 machine.kept = False
             return
         # A service that fails wherever it is tried would avoid, and so rent, machine after machine.
         waiting = [
             replace(want, avoid=()) if job.backoff else want
             for want in wants
-            if (job := self._book.jobs[want.job]).daemon
+            if (job := self._cluster.jobs[want.job]).daemon
         ]
         rooms = self._placement.rooms()
         # One more like the largest there is must find room at once, spread as it may have to be.
@@ -117,7 +117,7 @@
             self._order(machines_for(left, self._offers(left), rooms, MOST_AT_ONCE), pool=False)
         # The band, over the machines of the kind that the most demanding of them may use.
         demanding = [job for job in daemons if not job.spec.spot]
-        firm = [m for m in self._book.machines.values() if not m.spot and m.serves(now)]
+        firm = [m for m in self._cluster.machines.values() if not m.spot and m.serves(now)]
         for_replicas = sum(m.cpus - (m.urgent_cpus - m.standing_cpus) for m in firm)
         for_replicas += sum(
             kind.cpus * order.count
@@ -137,13 +137,13 @@
         firm.sort(key=lambda m: (-m.standing_cpus, m.core_price, m.name))
         needed = max(booked / max(theta - delta, 0.05), soon, booked + largest.total * largest.spec.cpus) - booked
         kept = reserve(((m.name, m.zone, m.cpus - m.urgent_cpus) for m in firm), needed if demanding else 0.0)
-        for machine in self._book.machines.values():
+        for machine in self._cluster.machines.values():
             machine.kept = machine.name in kept
 
     def _soon_room(self, waiting: list[Want], now: timedelta) -> list[Slot]:
         """Room that replicas have, or get once deferrable work has given way or machines are up."""
         slots = []
-        for m in self._book.machines.values():
+        for m in self._cluster.machines.values():
             if not m.serves(now) or not any(allowed(want, m.build, m.zone, m.spot) for want in waiting):
                 continue
             firm_part = m.urgent_cpus / m.cpus_used if m.cpus_used else 0.0
@@ -186,7 +186,7 @@
             # goes ahead of what is judged here.
             # Replicas have room made for them apart, and no deadline to be judged by.
             waiting = [
-                want for want in group if not self._book.jobs[want.job].daemon and (not want.urgent or not places)
+                want for want in group if not self._cluster.jobs[want.job].daemon and (not want.urgent or not places)
             ]
             if waiting:
                 alike.setdefault(places, []).extend(waiting)
@@ -225,7 +225,7 @@
         supplies = self._supplies(places, waiting[0], now)
         busy, ahead = self._running(places, now)
         for want in urgent:
-            job = self._book.jobs[want.job]
+            job = self._cluster.jobs[want.job]
             if not job.daemon:
                 ahead += want.count * want.cpus * self._each(job)
         usable += _usable(urgent, rooms) + busy - sum(supply.cores for supply in supplies)
@@ -254,7 +254,7 @@
         by_due: dict[int, Group] = {}
         team_cores: dict[str, float] = {}
         for want in waiting:
-            job = self._book.jobs[want.job]
+            job = self._cluster.jobs[want.job]
             each = self._each(job)
             room = max(0.0, rooms[want.team].cpus - team_cores.get(want.team, 0.0))
             cores = min(room, want.count * want.cpus)
@@ -278,7 +278,7 @@
 
     def _supplies(self, places: set[str], want: Want, now: timedelta) -> list[Supply]:
         supplies = []
-        for machine in self._book.machines.values():
+        for machine in self._cluster.machines.values():
             if machine.name not in places:
                 continue
             if machine.state is not MachineState.BOOTING:
@@ -302,25 +302,25 @@
         for name in places:
             known = self._held.get(name)
             if known is None:
-                known = self._held[name] = self._running_on(self._book.machines[name], now)
+                known = self._held[name] = self._running_on(self._cluster.machines[name], now)
             cores += known[0]
             work += known[1]
         return cores, work
 
     def _running_on(self, machine: Machine, now: timedelta) -> tuple[float, float]:
         cores = work = 0.0
-        for hold in machine.holds.values():
-            if not hold.job.daemon:
-                cpus = hold.job.spec.cpus
+        for allocation in machine.allocations.values():
+            if not allocation.job.daemon:
+                cpus = allocation.job.spec.cpus
                 cores += cpus
-                work += cpus * self._left(hold, now)
+                work += cpus * self._left(allocation, now)
         return cores, work
 
-    def _left(self, hold: Hold, now: timedelta) -> float:
-        whole = self._each(hold.job)
-        if hold.started_at is None:
+    def _left(self, allocation: Allocation, now: timedelta) -> float:
+        whole = self._each(allocation.job)
+        if allocation.started_at is None:
             return whole
-        return max(whole - (now - hold.started_at).total_seconds(), whole * 0.2)
+        return max(whole - (now - allocation.started_at).total_seconds(), whole * 0.2)
 
     def _each(self, job: Job) -> float:
         """What a task of the job takes, judged once a round."""
@@ -370,9 +370,9 @@
         its progress and would fit elsewhere, it is moved: an exception to the design, where
         only an empty machine is returned, since long tasks kept dear machines for minutes.
         """
-        serving = [m for m in self._book.machines.values() if m.open]
+        serving = [m for m in self._cluster.machines.values() if m.open]
         # What is on machines that will be taken needs room elsewhere in a moment.
-        demand = sum(m.cpus_used for m in self._book.up()) + _usable(wants, rooms)
+        demand = sum(m.cpus_used for m in self._cluster.up()) + _usable(wants, rooms)
         needed = max(demand * SLACK, urgent / max(self.theta - self._operators.delta, 0.05))
         spare = 0.0
         # Of equally dear machines the fuller are kept: the others are closer to being empty.
@@ -386,7 +386,11 @@
             needed -= machine.cpus
             if not machine.fading:
                 spare += machine.free
-            elif machine.holds and machine.cpus_used <= spare and machine.core_price >= DEAR * serving[0].core_price:
+            elif (
+                machine.allocations
+                and machine.cpus_used <= spare
+                and machine.core_price >= DEAR * serving[0].core_price
+            ):
                 spare -= machine.cpus_used
                 self._move_away(machine, now)
             elif machine.fading_since is not None and now - machine.fading_since > STAYED:
@@ -396,34 +400,40 @@
         """A machine that only replicas keep is not kept for ever: where others have room they move,
         one of a job at a time, since each move costs replica time.
         """
-        if not all(hold.job.daemon for hold in machine.holds.values()):
+        if not all(allocation.job.daemon for allocation in machine.allocations.values()):
             return
-        for hold in machine.holds.values():
-            job = hold.job
+        for allocation in machine.allocations.values():
+            job = allocation.job
             moving = any(other.stop is not None for other in job.live.values())
-            if not moving and job.running == job.total and self._placement.has_room(hold):
-                log.info("%s/%s moves off %s, which is not needed", job.id, hold.task, machine.name)
-                hold.stop = Stop.SAVE
+            if not moving and job.running == job.total and self._placement.has_room(allocation):
+                log.info("%s/%s moves off %s, which is not needed", job.id, allocation.task, machine.name)
+                allocation.stop = Stop.SAVE
 
     def _move_away(self, machine: Machine, now: timedelta) -> None:
-        holds = list(machine.holds.values())
-        if any(hold.stop is None for hold in holds) and all(
-            hold.job.spec.saves and hold.started_at is not None and now - hold.started_at > SETTLED for hold in holds
+        allocations = list(machine.allocations.values())
+        if any(allocation.stop is None for allocation in allocations) and all(
+            allocation.job.spec.saves and allocation.started_at is not None and now - allocation.started_at > SETTLED
+            for allocation in allocations
         ):
-            log.info("%s is emptied: its %s tasks save and go on elsewhere", machine.name, len(holds))
-            for hold in holds:
-                hold.stop = hold.stop or Stop.SAVE
+            log.info("%s is emptied: its %s tasks save and go on elsewhere", machine.name, len(allocations))
+            for allocation in allocations:
+                allocation.stop = allocation.stop or Stop.SAVE
 
     def _return_pool(self, wants: list[Want], now: timedelta) -> None:
         """An idle deferrable pool goes back whole; what of a busy one stays empty goes singly.
 
         Singly is an exception to the design: one long task would else keep the whole pool.
         """
-        pool = [m for m in self._book.machines.values() if m.pool and m.state is MachineState.UP]
-        whole = not any(not want.urgent for want in wants) and all(not m.holds for m in pool)
+        pool = [m for m in self._cluster.machines.values() if m.pool and m.state is MachineState.UP]
+        whole = not any(not want.urgent for want in wants) and all(not m.allocations for m in pool)
         for machine in pool:
             patience = IDLE if whole else self._patience(machine)
-            if not machine.holds and not machine.cut and not machine.kept and now - machine.empty_since > patience:
+            if (
+                not machine.allocations
+                and not machine.cut
+                and not machine.kept
+                and now - machine.empty_since > patience
+            ):
                 self._fleet.give_up(machine, "the pool is idle")
 
     def _idle_for(self, machine: Machine) -> timedelta:
@@ -441,14 +451,14 @@
 
     def _urgent(self, wants: list[Want], rooms: dict[str, Room]) -> float:
         """Urgent cores: booked, and waiting as far as teams' limits let them run."""
-        booked = sum(machine.urgent_cpus for machine in self._book.machines.values())
+        booked = sum(machine.urgent_cpus for machine in self._cluster.machines.values())
         return booked + _usable([want for want in wants if want.urgent], rooms)
 
     def _for_band(self, wants: list[Want], urgent: float, now: timedelta) -> None:
         self._track(urgent, now)
         outside = [
             m
-            for m in self._book.machines.values()
+            for m in self._cluster.machines.values()
             if not m.pool and not m.cut and m.state in (MachineState.UP, MachineState.BOOTING, MachineState.UNSURE)
         ]
         cores = sum(m.cpus for m in outside)
@@ -489,7 +499,9 @@
         share stays in the band.
         """
         most = self.theta + self._operators.delta
-        empty = [m for m in outside if m.open and m.fading and not m.holds and now - m.empty_since > self._idle_for(m)]
+        empty = [
+            m for m in outside if m.open and m.fading and not m.allocations and now - m.empty_since > self._idle_for(m)
+        ]
         for machine in sorted(empty, key=lambda m: -m.core_price):
             if urgent <= most * (cores - machine.cpus):
                 cores -= machine.cpus
--- a/src/elmthread/sizing/tests/test_round.py
+++ b/src/elmthread/sizing/tests/test_round.py
@@ -8,7 +8,7 @@
 import pytest
 
 from elmthread.fleet.service import Fleet
-from elmthread.placement.book import Job, Machine, MachineState
+from elmthread.placement.cluster import Job, Machine, MachineState
 from elmthread.placement.decide import allowed
 from elmthread.sizing.service import Sizing
 from tests.test_world import day
@@ -34,7 +34,7 @@
 
     async def script(world: World) -> None:
         leader = await filled(world)
-        sizing, book, now = leader.sizing, leader.book, leader._clock()
+        sizing, cluster, now = leader.sizing, leader.cluster, leader._clock()
         asked: list[str] = []
         expected: Callable[[Job], timedelta] = sizing._expected
 
@@ -51,7 +51,7 @@
             found = places_of(self, want)
             plain = {
                 machine.name
-                for machine in book.machines.values()
+                for machine in cluster.machines.values()
                 if machine.serves(now)
                 and allowed(want, machine.build, machine.zone, machine.spot)
                 and want.cpus <= machine.cpus
@@ -65,13 +65,20 @@
         def summed(self: Sizing, names: set[str], at: Any) -> tuple[float, float]:
             nonlocal checked
             cores, work = running(self, names, at)
-            held = [hold for name in names for hold in book.machines[name].holds.values() if not hold.job.daemon]
-            assert cores == pytest.approx(sum(hold.job.spec.cpus for hold in held))
+            held = [
+                allocation
+                for name in names
+                for allocation in cluster.machines[name].allocations.values()
+                if not allocation.job.daemon
+            ]
+            assert cores == pytest.approx(sum(allocation.job.spec.cpus for allocation in held))
             plain = 0.0
-            for hold in held:
-                whole = expected(hold.job).total_seconds()
-                ran = 0.0 if hold.started_at is None else (at - hold.started_at).total_seconds()
-                plain += hold.job.spec.cpus * (whole if hold.started_at is None else max(whole - ran, whole * 0.2))
+            for allocation in held:
+                whole = expected(allocation.job).total_seconds()
+                ran = 0.0 if allocation.started_at is None else (at - allocation.started_at).total_seconds()
+                plain += allocation.job.spec.cpus * (
+                    whole if allocation.started_at is None else max(whole - ran, whole * 0.2)
+                )
             assert work == pytest.approx(plain)
             checked += 1
             return cores, work
@@ -79,8 +86,8 @@
         monkeypatch.setattr(Sizing, "_places", places)
         monkeypatch.setattr(Sizing, "_running", summed)
         sizing.round()
-        assert checked > 4 and sum(len(machine.holds) for machine in book.machines.values()) > 60
-        assert len(asked) == len(set(asked)) <= len(book.open_jobs)
+        assert checked > 4 and sum(len(machine.allocations) for machine in cluster.machines.values()) > 60
+        assert len(asked) == len(set(asked)) <= len(cluster.open_jobs)
 
     day(script, machines=6)
 
@@ -97,7 +104,7 @@
             expire(self, machine, now)
 
         monkeypatch.setattr(Fleet, "_expire", noted)
-        up = [machine for machine in leader.book.machines.values() if machine.state is MachineState.UP]
+        up = [machine for machine in leader.cluster.machines.values() if machine.state is MachineState.UP]
         assert len(up) >= 6
         leader.fleet._judge()
         assert len(judged) <= 1
--- a/tests/test_daemons.py
+++ b/tests/test_daemons.py
@@ -10,7 +10,7 @@
 from elmthread.common.clock import seconds
 from elmthread.intake.jobs import Jobs
 from elmthread.intake.messages import read_submission
-from elmthread.placement.book import Job
+from elmthread.placement.cluster import Job
 from elmthread.placement.decide import Want
 from elmthread.placement.service import may_ever_run
 from elmthread.rollout.features import ActiveFeatures
@@ -28,7 +28,7 @@
 
 def known(world: World, job_id: str) -> Job:
     assert world.leader is not None and world.leader.leader is not None
-    return world.leader.leader.book.jobs[job_id]
+    return world.leader.leader.cluster.jobs[job_id]
 
 
 async def served(world: World, job_id: str, within: float, replicas: int = 3) -> float:
@@ -95,7 +95,7 @@
         for _ in range(240):
             await asyncio.sleep(1)
             assert world.leader is not None and world.leader.leader is not None
-            assert not any(one.suspect for one in world.leader.leader.book.machines.values())
+            assert not any(one.suspect for one in world.leader.leader.cluster.machines.values())
         for number in (1, 2):
             tries = sum(count for task, count in world.rules.starts.items() if task.startswith(f"run-00000{number}"))
             assert 8 <= tries <= 60, tries
--- a/tests/test_four_thousand.py
+++ b/tests/test_four_thousand.py
@@ -66,7 +66,7 @@
         # Every machine is known to the leader, which ends; all report to the next one at once.
         old = world.leader
         assert old is not None and old.leader is not None
-        assert len(old.leader.book.machines) >= 0.9 * MACHINES
+        assert len(old.leader.cluster.machines) >= 0.9 * MACHINES
         world.kill(old.api._node)
         ended = world.loop.now
         for worker in world.workers.values():
@@ -75,7 +75,7 @@
             assert world.loop.now - ended < 8
             await asyncio.sleep(0.1)
         await asyncio.sleep(6)
-        known = world.leader.leader.book.machines.values()
+        known = world.leader.leader.cluster.machines.values()
         heard = sum(machine.reported_at is not None for machine in known)
         assert heard >= 0.95 * len(world.workers)
         for job_id in ids:
--- a/tests/test_troubles.py
+++ b/tests/test_troubles.py
@@ -8,14 +8,14 @@
 
 from elmthread.common.clock import seconds
 from elmthread.peers.messages import Ask
-from elmthread.placement.book import Machine
+from elmthread.placement.cluster import Machine
 from tests.test_world import day, restore, set_apart, start
 from tests.world.world import World, job
 
 
 def machine(world: World, name: str) -> Machine | None:
     assert world.leader is not None and world.leader.leader is not None
-    return world.leader.leader.book.machines.get(name)
+    return world.leader.leader.cluster.machines.get(name)
 
 
 def busiest(world: World) -> str:
@@ -48,7 +48,7 @@
         for _ in range(50):
             await asyncio.sleep(0.2)
             found = machine(world, name)
-            seen |= {hold.job.id for hold in found.holds.values()} if found else set()
+            seen |= {allocation.job.id for allocation in found.allocations.values()} if found else set()
         assert "run-000002" not in seen
         await asyncio.sleep(35)
         if heals:
@@ -94,7 +94,7 @@
         await asyncio.sleep(100)
         # Nor do they make machines that stay.
         assert world.leader is not None and world.leader.leader is not None
-        assert set(world.leader.leader.book.machines) <= set(world.cloud.machines)
+        assert set(world.leader.leader.cluster.machines) <= set(world.cloud.machines)
 
     for seed in range(3):
         day(script, seed=seed)
@@ -121,7 +121,7 @@
             assert response.status == 503
         assert sorted(world.rules.where) == sorted(before)
         assert world.leader.leader is not None
-        assert len(world.leader.leader.book.jobs["run-000001"].live) == 3
+        assert len(world.leader.leader.cluster.jobs["run-000001"].live) == 3
         assert (await world.until_over(["run-000001"], 60)) == {"run-000001": "done"}
 
     world = day(script)
--- a/tests/test_versions.py
+++ b/tests/test_versions.py
@@ -68,12 +68,12 @@
             state = await world.poll(job_id)
             assert state == record["state"] or (record["state"] == "open" and state in ("queued", "running"))
         assert world.leader is not None and world.leader.leader is not None
-        book = world.leader.leader.book
-        holds = [hold for one in book.machines.values() for hold in one.holds.values()]
-        held = {(hold.machine.name, f"{hold.job.id}/{hold.task}") for hold in holds}
+        cluster = world.leader.leader.cluster
+        allocations = [allocation for one in cluster.machines.values() for allocation in one.allocations.values()]
+        held = {(allocation.machine.name, f"{allocation.job.id}/{allocation.task}") for allocation in allocations}
         assert held == view.holds
         for job_id, marked in view.done.items():
-            known = book.jobs[job_id]
+            known = cluster.jobs[job_id]
             assert {task for task in range(known.total) if known.is_done(task)} == marked
         assert set(world.leader.leader.fleet.types) == {kind["name"] for kind in view.types}
 
--- a/tests/test_world.py
+++ b/tests/test_world.py
@@ -445,8 +445,8 @@
         assert leader is not None and leader.leader is not None
         for _ in range(20):
             await asyncio.sleep(0.5)
-            machine = leader.leader.book.machines.get(name)
-            assert machine is None or not machine.holds
+            machine = leader.leader.cluster.machines.get(name)
+            assert machine is None or not machine.allocations
 
     day(script)
 
@@ -553,7 +553,7 @@
         cloud.lost = 0.0
         await asyncio.sleep(15)
         assert stuck.name not in world.cloud.machines
-        assert stuck.name not in world.leader.leader.book.machines  # type: ignore[union-attr]
+        assert stuck.name not in world.leader.leader.cluster.machines  # type: ignore[union-attr]
 
     day(script)
 
--- a/tests/world/rollouts.py
+++ b/tests/world/rollouts.py
@@ -17,7 +17,7 @@
 from bitarray.util import sc_decode
 
 from elmthread.ledger.loading import Loader
-from elmthread.placement.book import JobState
+from elmthread.placement.cluster import JobState
 from elmthread.rollout.features import SupportedLevels
 from elmthread.rollout.settings import RolloutSettings
 from tests.world.earlier import newest
@@ -166,7 +166,7 @@
         """A leader has loaded its view: it must be what the store holds, in whatever form."""
         self.loads += 1
         stored, finished = done_in_store(self._world), self._world.rules.finished
-        for job_id, job in loader._book.jobs.items():
+        for job_id, job in loader._cluster.jobs.items():
             if not job.open:
                 continue
             marked = {task for task in range(job.total) if job.is_done(task)}
@@ -174,8 +174,12 @@
                 self._break(f"{job_id} is misread: {sorted(marked)[:9]} of {sorted(stored.get(job_id, set()))[:9]}")
             if not {f"{job_id}/{task}" for task in marked} <= finished:
                 self._break(f"{job_id} has tasks marked that have not ended")
-        machines, jobs = loader._book.machines.values(), loader._book.jobs
-        held = {(one.name, hold.job.id, hold.task, hold.attempt) for one in machines for hold in one.holds.values()}
+        machines, jobs = loader._cluster.machines.values(), loader._cluster.jobs
+        held = {
+            (one.name, allocation.job.id, allocation.task, allocation.attempt)
+            for one in machines
+            for allocation in one.allocations.values()
+        }
         wanted = {
             one
             for one in assigned_in_store(self._world)
