--- a/src/elmthread/agents/messages.py
+++ b/src/elmthread/agents/messages.py
@@ -6,7 +6,7 @@
 import msgspec
 
 # Where workers report to.
-BEAT = "/agent/beat"
+HEARTBEAT_PATH = "/agent/beat"
 # Counts, versions, tokens and attempts are smaller than this.
 MOST = 1 << 64
 
--- a/src/elmthread/agents/service.py
+++ b/src/elmthread/agents/service.py
@@ -82,7 +82,7 @@
 
     # Reports
 
-    async def beat(self, request: Request) -> Response:
+    async def heartbeat(self, request: Request) -> Response:
         try:
             report = messages.read_report(decode(request.body))
         except (MalformedBodyError, msgspec.ValidationError) as error:
--- a/src/elmthread/controller.py
+++ b/src/elmthread/controller.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from elmthread.agents.messages import BEAT
+from elmthread.agents.messages import HEARTBEAT_PATH
 from elmthread.agents.reach import Reach
 from elmthread.agents.service import Agents
 from elmthread.common.clock import Clock, at_least, at_most, seconds, steady
@@ -15,7 +15,7 @@
 from elmthread.common.load import Kind, Load
 from elmthread.fleet.client import CloudClient
 from elmthread.fleet.service import QUIET, Fleet
-from elmthread.intake.api import VOUCH, WHICH_PROCESS, Api
+from elmthread.intake.api import NO_LATER_TERM, WHICH_PROCESS, Api
 from elmthread.intake.jobs import Jobs
 from elmthread.intake.service import Intake
 from elmthread.leadership.election import Election, Role, Term
@@ -46,7 +46,7 @@
 # Longer than this no leader holds on, whatever the limits allow: a new one has to wait it out.
 MOST_HELD = seconds(60)
 # Another node says within this time whether it may have won.
-VOUCH_TIME = seconds(1)
+PEER_ANSWER_TIME = seconds(1)
 ROUND = seconds(0.1)
 GATHER = seconds(0.5)
 # A leader that reaches nobody but the state service gives way, though not more often than this.
@@ -361,12 +361,12 @@
             self.peers,
             clock,
             self._intake,
-            self._beat,
+            self._heartbeat,
             self.load,
             gate,
         )
         most = max(10, int(facts.limits.max_connections * SERVERS_PART))
-        workers = Crowd(BEAT, max(5, int(most * WORKERS_PART)), facts.workers.lease)
+        workers = Crowd(HEARTBEAT_PATH, max(5, int(most * WORKERS_PART)), facts.workers.lease)
         self.server = Server(self.api.handle, most, clock, workers)
         self._alone_at: timedelta | None = None
         self.leader: Leader | None = None
@@ -404,8 +404,8 @@
     def _gave_way_alone(self) -> None:
         self._alone_at = self._clock()
 
-    async def look_for_rivals(self) -> None:
-        """While this node holds: as long as all others vouch that they have not won, it may go on.
+    async def check_for_newer_terms(self) -> None:
+        """While this node holds: as long as all others confirm that they have not won, it may go on.
 
         In an outage of the state service that is so for as long as it lasts, and no work is lost.
         Where one of them can't be asked, the time of holding ends as it would without.
@@ -415,18 +415,18 @@
             if self.election.role is not Role.HOLDING:
                 continue
             asked, token = self._clock(), self.election.token
-            asks = [self._vouched(other.node, token) for other in self._platform.others]
+            asks = [self._confirms_no_later_term(other.node, token) for other in self._platform.others]
             if all(await asyncio.gather(*asks)):
-                self.election.unrivalled(token, asked)
+                self.election.note_no_later_term(token, asked)
 
     async def _process_of(self, node: str) -> str | None:
         """The process that a node runs; None where its version has no name for it. Raises PeerUnreachableError."""
-        reply = await self.peers.ask(node, Ask(0, WHICH_PROCESS, ""), VOUCH_TIME)
+        reply = await self.peers.ask(node, Ask(0, WHICH_PROCESS, ""), PEER_ANSWER_TIME)
         return (reply.body or {}).get("process") if reply.status == 200 else None
 
-    async def _vouched(self, node: str, token: int) -> bool:
+    async def _confirms_no_later_term(self, node: str, token: int) -> bool:
         try:
-            return (await self.peers.ask(node, Ask(0, VOUCH, "", token), VOUCH_TIME)).status == 200
+            return (await self.peers.ask(node, Ask(0, NO_LATER_TERM, "", token), PEER_ANSWER_TIME)).status == 200
         except PeerUnreachableError:
             return False
 
@@ -462,13 +462,13 @@
             return self.leader.intake
         return None
 
-    async def _beat(self, request: Request) -> Response:
+    async def _heartbeat(self, request: Request) -> Response:
         leader = self.leader
         if leader is None or not leader.loaded:
             known = self.election.leader
             other = None if known == self._platform.node else known
             return self.reach.turn_away(request, other, self.election.seen_token)
-        return await leader.agents.beat(request)
+        return await leader.agents.heartbeat(request)
 
     def hear(self, lead: Lead) -> None:
         """What another node says about who leads and who comes to it."""
@@ -501,7 +501,7 @@
         async with asyncio.TaskGroup() as group:
             group.create_task(self.rollout.gate.run())
             group.create_task(self.election.run())
-            group.create_task(self.look_for_rivals())
+            group.create_task(self.check_for_newer_terms())
 
     async def run(self) -> None:
         platform = self._platform
--- a/src/elmthread/intake/api.py
+++ b/src/elmthread/intake/api.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from elmthread.agents.messages import BEAT
+from elmthread.agents.messages import HEARTBEAT_PATH
 from elmthread.common.clock import ZERO, Clock, seconds
 from elmthread.common.http import UNSURE, MalformedBodyError, Request, Response, again, decode
 from elmthread.common.load import Kind, Load
@@ -31,14 +31,14 @@
 VACANT = seconds(60)
 
 # Not a user's question: whether nobody here has won since the asker's term began. An earlier
-# version does not know it and vouches for nothing.
-VOUCH = "vouch"
+# version does not know it and confirms nothing.
+NO_LATER_TERM = "vouch"
 # Neither a user's: which process of its node this is. An earlier version refuses the question.
 WHICH_PROCESS = "process"
 
 TOO_MUCH = again(429, seconds(2), "too much to do")
 
-Beat = Callable[[Request], Awaitable[Response]]
+HeartbeatHandler = Callable[[Request], Awaitable[Response]]
 
 
 class Api:
@@ -49,7 +49,7 @@
         peers: Peers,
         clock: Clock,
         intake: Callable[[], Intake | None],
-        beat: Beat,
+        heartbeat: HeartbeatHandler,
         load: Load,
         gate: CompatibilityGate,
     ) -> None:
@@ -61,14 +61,14 @@
         self._peers = peers
         self._clock = clock
         self._intake = intake
-        self._beat = beat
+        self._heartbeat = heartbeat
         self._served_at: timedelta = ZERO
         self._ever = False
 
     async def handle(self, request: Request) -> Response:
         path, method = request.path, request.method
-        if path == BEAT:
-            return await self._beat(request) if method == "POST" else _wrong_method()
+        if path == HEARTBEAT_PATH:
+            return await self._heartbeat(request) if method == "POST" else _wrong_method()
         if path == "/ready":
             return self._ready() if method == "GET" else _wrong_method()
         if path == "/submissions":
@@ -172,8 +172,8 @@
 
     async def answer(self, ask: Ask) -> Reply:
         """A question that came over the peer link, for the term that the asker knows."""
-        if ask.verb == VOUCH:
-            return Reply(ask.number, 200 if self._election.vouches(ask.token) else 503, token=ask.token)
+        if ask.verb == NO_LATER_TERM:
+            return Reply(ask.number, 200 if self._election.has_won_no_later_term(ask.token) else 503, token=ask.token)
         if ask.verb == WHICH_PROCESS:
             return Reply(ask.number, 200, {"process": self._gate.process}, token=ask.token)
         intake = self._intake()
--- a/src/elmthread/leadership/election.py
+++ b/src/elmthread/leadership/election.py
@@ -86,8 +86,8 @@
         self.seen_token = 0
         self.leader: str | None = None
         self._sure_until = ZERO
-        # The last moment at which, as far as the others vouch for it, nobody else had won.
-        self._unrivalled_at = ZERO
+        # The last moment at which, as far as the others confirm it, nobody else had won.
+        self._no_later_term_at = ZERO
         # The last term that this very process has found in the store or won, and whether it stands.
         self._found_token = 0
         self._stands = False
@@ -106,30 +106,30 @@
     def answers_workers(self) -> bool:
         if self.leads():
             return True
-        since = max(self._sure_until, self._unrivalled_at)
+        since = max(self._sure_until, self._no_later_term_at)
         if self.role is Role.HOLDING and self._clock() >= since + at_most(self.holding):
             self.step_down("held for as long as allowed")
         return self.role is Role.HOLDING
 
     # Who else may have won
 
-    def vouches(self, token: int) -> bool:
+    def has_won_no_later_term(self, token: int) -> bool:
         """Neither this process, nor an earlier one of this node, has won a later term than that.
 
         Of its own wins a process knows. An earlier process won before this one began, and so no
         later term than the one that this process has found in the store, or has won, at any time:
-        the key held the newest term then. One that has found none vouches for nothing.
+        the key held the newest term then. One that has found none confirms nothing.
         """
         return not self._stands and self._found_token > 0 and self.seen_token <= token
 
-    def unrivalled(self, token: int, asked: timedelta) -> None:
-        """All other nodes, asked then, have vouched that they have won no later term than that.
+    def note_no_later_term(self, token: int, asked: timedelta) -> None:
+        """All other nodes, asked then, have confirmed that they have won no later term than that.
 
         So whoever wins does so later than that, and the time that a new leader waits for an
         earlier one, and that a confirmed cancellation leaves, counts from then on.
         """
         if self.token == token:
-            self._unrivalled_at = max(self._unrivalled_at, asked)
+            self._no_later_term_at = max(self._no_later_term_at, asked)
 
     def unaccounted_for(self, lease: timedelta) -> timedelta:
         """How long after winning a silent machine may still keep what an earlier leader gave it."""
--- a/src/elmthread/leadership/tests/test_election.py
+++ b/src/elmthread/leadership/tests/test_election.py
@@ -130,26 +130,30 @@
 
 def test_a_node_vouches_once_it_has_found_a_term_itself_and_for_no_earlier_than_it_knows_of() -> None:
     _, one, _ = made(F)
-    assert not one.vouches(TOKEN)
+    assert not one.has_won_no_later_term(TOKEN)
     # Hearsay may be older than a win of the process before this one.
     one.hear(TOKEN, "b")
-    assert not one.vouches(TOKEN)
+    assert not one.has_won_no_later_term(TOKEN)
     one._found_token = TOKEN - 5
-    assert one.vouches(TOKEN) and one.vouches(TOKEN + 1) and not one.vouches(TOKEN - 1)
+    assert (
+        one.has_won_no_later_term(TOKEN)
+        and one.has_won_no_later_term(TOKEN + 1)
+        and not one.has_won_no_later_term(TOKEN - 1)
+    )
     one._stands = True
-    assert not one.vouches(TOKEN)
+    assert not one.has_won_no_later_term(TOKEN)
     one._stands = False
     one.hear(TOKEN + 1, "c")
-    assert not one.vouches(TOKEN) and one.vouches(TOKEN + 1)
+    assert not one.has_won_no_later_term(TOKEN) and one.has_won_no_later_term(TOKEN + 1)
 
 
 def test_holding_counts_from_the_last_moment_at_which_nobody_else_had_won() -> None:
     loop, one, _ = made(H)
     loop.now = 12.0
-    one.unrivalled(TOKEN, loop.clock())
+    one.note_no_later_term(TOKEN, loop.clock())
     # Of another term it says nothing, and an older word takes nothing back.
-    one.unrivalled(TOKEN + 1, seconds(20))
-    one.unrivalled(TOKEN, seconds(1))
+    one.note_no_later_term(TOKEN + 1, seconds(20))
+    one.note_no_later_term(TOKEN, seconds(1))
     loop.now = 21.9
     assert one.answers_workers()
     loop.now = 22.1
--- a/tests/test_four_thousand.py
+++ b/tests/test_four_thousand.py
@@ -42,7 +42,7 @@
     calls: Counter[str] = Counter()
     changes: Counter[int] = Counter()
     count_calls(monkeypatch, calls, decide, "fits")
-    count_calls(monkeypatch, calls, Agents, "beat")
+    count_calls(monkeypatch, calls, Agents, "heartbeat")
 
     async def script(world: World) -> None:
         transact = world.store._transact
@@ -88,7 +88,7 @@
     assert starts < 1.02 * len(world.rules.starts)
     assert calls["fits"] < FITS_PER_START * starts, calls["fits"] / starts
     assert max(changes.values()) <= CHANGES_PER_SECOND
-    assert calls["beat"] > MACHINES
+    assert calls["heartbeat"] > MACHINES
 
 
 def test_as_many_connections_may_wait_to_be_taken_as_may_be_open(monkeypatch: pytest.MonkeyPatch) -> None:
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -218,7 +218,7 @@
 
         monkeypatch.setattr(owner, name, counted)
 
-    count(Agents, "beat")
+    count(Agents, "heartbeat")
     count(Agents, "_seen")
     count(messages, "task_name")
 
@@ -233,7 +233,7 @@
         work.clear()
         await asyncio.sleep(15)
         assert len(world.rules.where) == 40
-        assert work["beat"] >= 10
+        assert work["heartbeat"] >= 10
         assert work["_seen"] == work["task_name"] == 0
 
     day(script, machines=0)
