--- a/src/elmthread/common/http.py
+++ b/src/elmthread/common/http.py
@@ -84,7 +84,7 @@
 
 
 @dataclass(slots=True, frozen=True)
-class Crowd:
+class ConnectionLimit:
     """Clients that come by the hundred and ask in short turns: they leave room for the others."""
 
     path: str
@@ -101,7 +101,7 @@
     handle: Handler
     max_connections: int
     clock: Clock = steady
-    crowd: Crowd | None = None
+    crowd: ConnectionLimit | None = None
     refused: int = 0
     _open: set[_Open] = field(default_factory=set)
     _crowd: int = 0
--- a/src/elmthread/common/tests/test_http.py
+++ b/src/elmthread/common/tests/test_http.py
@@ -10,7 +10,7 @@
 
 from elmthread.common import http
 from elmthread.common.clock import seconds
-from elmthread.common.http import Client, Crowd, NoResponseError, NotSentError, Request, Response, Server
+from elmthread.common.http import Client, ConnectionLimit, NoResponseError, NotSentError, Request, Response, Server
 
 
 def run(main: Coroutine[Any, Any, None]) -> None:
@@ -239,7 +239,7 @@
 def test_a_crowd_leaves_sockets_to_the_others_and_its_dead_make_room() -> None:
     async def main() -> None:
         now = [seconds(0)]
-        server = Server(echo, 6, lambda: now[0], Crowd("/beat", 4, seconds(10)))
+        server = Server(echo, 6, lambda: now[0], ConnectionLimit("/beat", 4, seconds(10)))
         port = await server.start("127.0.0.1", 0)
         clients = [Client(f"127.0.0.1:{port}") for _ in range(7)]
 
--- a/src/elmthread/controller.py
+++ b/src/elmthread/controller.py
@@ -11,7 +11,7 @@
 from elmthread.agents.reach import Reach
 from elmthread.agents.service import Agents
 from elmthread.common.clock import Clock, at_least, at_most, seconds, steady
-from elmthread.common.http import Caller, Client, Crowd, Request, Response, Server
+from elmthread.common.http import Caller, Client, ConnectionLimit, Request, Response, Server
 from elmthread.common.load import Kind, Load
 from elmthread.fleet.client import CloudClient
 from elmthread.fleet.service import QUIET, Fleet
@@ -23,7 +23,7 @@
 from elmthread.ledger.client import StateClient
 from elmthread.ledger.loading import Loader
 from elmthread.ledger.log import Slots, slot_bytes
-from elmthread.ledger.pacing import Bucket
+from elmthread.ledger.pacing import TokenBucket
 from elmthread.ledger.writer import Writer
 from elmthread.peers.link import Peers, PeerUnreachableError
 from elmthread.peers.messages import Ask, Lead, Reply
@@ -121,13 +121,13 @@
             state,
             token,
             self._slots,
-            Bucket(rate, rate, clock),
+            TokenBucket(rate, rate, clock),
             store.txn_ops,
             clock,
             lambda: self.term.step_down("a transaction found another leader"),
         )
         self.work = WorkModel()
-        calls = Bucket(facts.cloud.rps * 0.9, max(1.0, facts.cloud.rps * 1.5), clock)
+        calls = TokenBucket(facts.cloud.rps * 0.9, max(1.0, facts.cloud.rps * 1.5), clock)
         unsure_until = clock() + election.unaccounted_for(facts.workers.lease)
         self.fleet = Fleet(
             self.cluster,
@@ -324,7 +324,7 @@
         facts = platform.facts
         # A follower needs little of the state service's rate; a leader takes its own part.
         self._store_rps = facts.state.kept().rps
-        self._requests = Bucket(self._store_rps * OTHERS_PART, self._store_rps * OTHERS_PART, clock)
+        self._requests = TokenBucket(self._store_rps * OTHERS_PART, self._store_rps * OTHERS_PART, clock)
         self._state = StateClient(state or Client(platform.endpoints.state), self._requests)
         self._cloud = cloud or Client(platform.endpoints.cloud)
         members = frozenset({platform.node, *(other.node for other in platform.others)})
@@ -366,7 +366,7 @@
             gate,
         )
         most = max(10, int(facts.limits.max_connections * SERVERS_PART))
-        workers = Crowd(HEARTBEAT_PATH, max(5, int(most * WORKERS_PART)), facts.workers.lease)
+        workers = ConnectionLimit(HEARTBEAT_PATH, max(5, int(most * WORKERS_PART)), facts.workers.lease)
         self.server = Server(self.api.handle, most, clock, workers)
         self._alone_at: timedelta | None = None
         self.leader: Leader | None = None
--- a/src/elmthread/fleet/client.py
+++ b/src/elmthread/fleet/client.py
@@ -9,7 +9,7 @@
 from elmthread.common.clock import seconds
 from elmthread.common.http import Answer, Caller, NoResponseError
 from elmthread.fleet import messages
-from elmthread.ledger.pacing import Bucket
+from elmthread.ledger.pacing import TokenBucket
 
 log = logging.getLogger(__name__)
 
@@ -29,7 +29,7 @@
 
 
 class CloudClient:
-    def __init__(self, caller: Caller, calls: Bucket, sure: Callable[[], bool]) -> None:
+    def __init__(self, caller: Caller, calls: TokenBucket, sure: Callable[[], bool]) -> None:
         self._caller = caller
         self.calls = calls
         # The cloud knows no leaders: what changes something is judged right before it leaves.
--- a/src/elmthread/fleet/tests/test_service.py
+++ b/src/elmthread/fleet/tests/test_service.py
@@ -10,7 +10,7 @@
 from elmthread.fleet.client import CloudClient
 from elmthread.fleet.messages import Listed, Type
 from elmthread.fleet.service import MISSING, Fleet, Kind
-from elmthread.ledger.pacing import Bucket
+from elmthread.ledger.pacing import TokenBucket
 from elmthread.ledger.writer import Rank
 from elmthread.placement.cluster import REMEMBERED, ClusterState, Machine, MachineState
 from tests.world.loop import SimLoop, play
@@ -57,7 +57,7 @@
     clock = cloud.loop.clock
     one = Fleet(
         cluster,
-        CloudClient(cloud, Bucket(rps * 0.9, rps * 1.5, clock), lambda: True),
+        CloudClient(cloud, TokenBucket(rps * 0.9, rps * 1.5, clock), lambda: True),
         Store(),  # type: ignore[arg-type]
         clock,
         seconds(4),
--- a/src/elmthread/leadership/tests/test_election.py
+++ b/src/elmthread/leadership/tests/test_election.py
@@ -12,7 +12,7 @@
 from elmthread.common.http import Answer, NoResponseError
 from elmthread.leadership.election import Election, Role, Term
 from elmthread.ledger.client import StateClient
-from elmthread.ledger.pacing import Bucket
+from elmthread.ledger.pacing import TokenBucket
 from tests.world.loop import SimLoop, play
 
 TTL, HOLDING, TOKEN = seconds(3), seconds(10), 20
@@ -40,7 +40,7 @@
     loop = SimLoop()
     asyncio.set_event_loop(loop)
     caller = Renewals(loop, answer)
-    client = StateClient(caller, Bucket(100, 100, loop.clock))
+    client = StateClient(caller, TokenBucket(100, 100, loop.clock))
     election = Election("a", client, loop.clock, TTL, HOLDING, lambda token: None, lambda: None)
     if role is not F:
         election.token = election.seen_token = TOKEN
--- a/src/elmthread/ledger/client.py
+++ b/src/elmthread/ledger/client.py
@@ -11,7 +11,7 @@
 from elmthread.common.clock import seconds
 from elmthread.common.http import Answer, Caller, NoResponseError
 from elmthread.ledger import messages
-from elmthread.ledger.pacing import Bucket
+from elmthread.ledger.pacing import TokenBucket
 
 log = logging.getLogger(__name__)
 
@@ -52,7 +52,7 @@
 
 
 class StateClient:
-    def __init__(self, caller: Caller, requests: Bucket) -> None:
+    def __init__(self, caller: Caller, requests: TokenBucket) -> None:
         self._caller = caller
         self._requests = requests
 
--- a/src/elmthread/ledger/pacing.py
+++ b/src/elmthread/ledger/pacing.py
@@ -7,7 +7,7 @@
 
 
 @dataclass
-class Bucket:
+class TokenBucket:
     rate: float
     burst: float
     clock: Clock
--- a/src/elmthread/ledger/tests/test_writer.py
+++ b/src/elmthread/ledger/tests/test_writer.py
@@ -14,7 +14,7 @@
 from elmthread.ledger.client import StateClient
 from elmthread.ledger.done_marks import chunk_tasks
 from elmthread.ledger.log import FRAME, SLOTS, Slots, UnreadableRecordError, pack, slot_bytes, text_of, weight
-from elmthread.ledger.pacing import Bucket
+from elmthread.ledger.pacing import TokenBucket
 from elmthread.ledger.records import LEADER
 from elmthread.ledger.writer import Rank, Writer
 from tests.world.faults import errors_logged
@@ -31,14 +31,14 @@
         self.store = StateStore(self.loop, random.Random(1), 8, VALUE)
         self.store.apply("POST", "/txn", {"guards": [], "then": [messages.put(LEADER, {"node": "a"})]})
         self.trouble = Trouble()
-        client = StateClient(Port(self.store, self.trouble), Bucket(100, 100, self.loop.clock))
+        client = StateClient(Port(self.store, self.trouble), TokenBucket(100, 100, self.loop.clock))
         self.lost: list[bool] = []
         token = self.store.items[LEADER][1]
         self.writer = Writer(
             client,
             token,
             Slots(slot_bytes(2)),
-            Bucket(rate, rate, self.loop.clock),
+            TokenBucket(rate, rate, self.loop.clock),
             8,
             self.loop.clock,
             lambda: self.lost.append(True),
--- a/src/elmthread/ledger/writer.py
+++ b/src/elmthread/ledger/writer.py
@@ -27,7 +27,7 @@
     UnknownOutcomeError,
 )
 from elmthread.ledger.log import Slot, SlotRecord, Slots, pack, text_of, weight
-from elmthread.ledger.pacing import Bucket
+from elmthread.ledger.pacing import TokenBucket
 from elmthread.ledger.records import LEADER
 
 log = logging.getLogger(__name__)
@@ -90,7 +90,7 @@
         client: StateClient,
         token: int,
         slots: Slots,
-        changes: Bucket,
+        changes: TokenBucket,
         most_ops: int,
         clock: Clock,
         lost: Callable[[], None],
--- a/src/elmthread/rollout/command.py
+++ b/src/elmthread/rollout/command.py
@@ -7,7 +7,7 @@
 from elmthread.common.clock import steady
 from elmthread.common.http import Client
 from elmthread.ledger.client import StateClient, StoreError
-from elmthread.ledger.pacing import Bucket
+from elmthread.ledger.pacing import TokenBucket
 from elmthread.rollout.decide import Activate, plan_activation
 from elmthread.rollout.features import REGISTRY, SUPPORTED, SupportedLevels
 from elmthread.rollout.messages import UnreadableLevelError, read_view
@@ -22,7 +22,9 @@
 
 def run(platform: Platform, settings: RolloutSettings) -> int:
     """Prints the state of the rollout."""
-    client = StateClient(Client(platform.endpoints.state), Bucket(REQUESTS_PER_SECOND, REQUESTS_PER_SECOND, steady))
+    client = StateClient(
+        Client(platform.endpoints.state), TokenBucket(REQUESTS_PER_SECOND, REQUESTS_PER_SECOND, steady)
+    )
     members = frozenset({platform.node, *(other.node for other in platform.others)})
     try:
         records: RolloutRecords = asyncio.run(read_records(client))
