--- a/src/elmthread/controller.py
+++ b/src/elmthread/controller.py
@@ -26,7 +26,7 @@
 from elmthread.ledger.pacing import TokenBucket
 from elmthread.ledger.writer import Writer
 from elmthread.peers.link import Peers, PeerUnreachableError
-from elmthread.peers.messages import Ask, Lead, Reply
+from elmthread.peers.messages import ForwardedRequest, ForwardedResponse, LeaderAnnouncement
 from elmthread.placement.cluster import ClusterState, Job
 from elmthread.placement.service import Placement
 from elmthread.rollout.features import SUPPORTED, ActiveFeatures, Feature, SupportedLevels
@@ -421,12 +421,14 @@
 
     async def _process_of(self, node: str) -> str | None:
         """The process that a node runs; None where its version has no name for it. Raises PeerUnreachableError."""
-        reply = await self.peers.ask(node, Ask(0, WHICH_PROCESS, ""), PEER_ANSWER_TIME)
+        reply = await self.peers.ask(node, ForwardedRequest(0, WHICH_PROCESS, ""), PEER_ANSWER_TIME)
         return (reply.body or {}).get("process") if reply.status == 200 else None
 
     async def _confirms_no_later_term(self, node: str, token: int) -> bool:
         try:
-            return (await self.peers.ask(node, Ask(0, NO_LATER_TERM, "", token), PEER_ANSWER_TIME)).status == 200
+            return (
+                await self.peers.ask(node, ForwardedRequest(0, NO_LATER_TERM, "", token), PEER_ANSWER_TIME)
+            ).status == 200
         except PeerUnreachableError:
             return False
 
@@ -470,7 +472,7 @@
             return self.reach.turn_away(request, other, self.election.seen_token)
         return await leader.agents.heartbeat(request)
 
-    def hear(self, lead: Lead) -> None:
+    def hear(self, lead: LeaderAnnouncement) -> None:
         """What another node says about who leads and who comes to it."""
         self.election.hear(lead.token, lead.leader)
         if lead.level is not msgspec.UNSET:
@@ -485,13 +487,13 @@
             return
         self.rollout.features.learn(level)
 
-    async def _answer(self, ask: Ask) -> Reply:
+    async def _answer(self, ask: ForwardedRequest) -> ForwardedResponse:
         return await self.api.answer(ask)
 
-    def _say(self) -> Lead:
+    def _say(self) -> LeaderAnnouncement:
         token = self.election.seen_token
         machines = len(self.leader.cluster.machines) if self.leader is not None else 0
-        lead = Lead(self.election.leader, token, self._platform.node, *self.reach.strays(token), machines)
+        lead = LeaderAnnouncement(self.election.leader, token, self._platform.node, *self.reach.strays(token), machines)
         if self.leader is not None and self.rollout.features.is_active(Feature.LEVEL_IN_ANNOUNCEMENTS):
             lead.level = self.rollout.features.level
         return lead
--- a/src/elmthread/intake/api.py
+++ b/src/elmthread/intake/api.py
@@ -14,7 +14,7 @@
 from elmthread.intake.service import Intake
 from elmthread.leadership.election import Election
 from elmthread.peers.link import Peers, PeerUnreachableError
-from elmthread.peers.messages import Ask, Reply
+from elmthread.peers.messages import ForwardedRequest, ForwardedResponse
 from elmthread.rollout.gate import CompatibilityGate
 
 log = logging.getLogger(__name__)
@@ -99,7 +99,7 @@
             job_id = job_id_of(body)
         except (MalformedBodyError, InvalidSubmissionError) as error:
             return Response(400, {"error": str(error)})
-        ask = Ask(0, "submit", job_id)
+        ask = ForwardedRequest(0, "submit", job_id)
         try:
             ask.body = msgspec.to_builtins(read_submission(body))
         except InvalidSubmissionError as error:
@@ -109,9 +109,9 @@
     async def _about(self, job_id: str, verb: str) -> Response:
         if not JOB_ID.match(job_id):
             return Response(404, {"error": "no such job"})
-        return await self._ask(Ask(0, verb, job_id))
+        return await self._ask(ForwardedRequest(0, verb, job_id))
 
-    async def _ask(self, ask: Ask) -> Response:
+    async def _ask(self, ask: ForwardedRequest) -> Response:
         if not self._gate.admitted:
             return self._elsewhere("not admitted")
         if self._load.refuses(KINDS[ask.verb]):
@@ -145,7 +145,7 @@
         response.close = self._ready().status != 200
         return response
 
-    async def _here(self, ask: Ask) -> Response:
+    async def _here(self, ask: ForwardedRequest) -> Response:
         """Answers as the leader, with a view that is complete and a lease that surely holds."""
         intake = self._intake()
         if intake is None or not self._election.leads():
@@ -155,7 +155,7 @@
             response.sure = intake.sure
         return response
 
-    async def _from(self, intake: Intake, ask: Ask) -> Response:
+    async def _from(self, intake: Intake, ask: ForwardedRequest) -> Response:
         if ask.verb == "submit":
             job = None
             if ask.body is not None:
@@ -170,12 +170,14 @@
             return intake.status(ask.job_id)
         return Response(400, {"error": "unknown request"})
 
-    async def answer(self, ask: Ask) -> Reply:
+    async def answer(self, ask: ForwardedRequest) -> ForwardedResponse:
         """A question that came over the peer link, for the term that the asker knows."""
         if ask.verb == NO_LATER_TERM:
-            return Reply(ask.number, 200 if self._election.has_won_no_later_term(ask.token) else 503, token=ask.token)
+            return ForwardedResponse(
+                ask.number, 200 if self._election.has_won_no_later_term(ask.token) else 503, token=ask.token
+            )
         if ask.verb == WHICH_PROCESS:
-            return Reply(ask.number, 200, {"process": self._gate.process}, token=ask.token)
+            return ForwardedResponse(ask.number, 200, {"process": self._gate.process}, token=ask.token)
         intake = self._intake()
         if ask.verb in KINDS and self._load.refuses(KINDS[ask.verb]):
             response = TOO_MUCH
@@ -186,7 +188,7 @@
             if response.sure is not None and not response.sure():
                 response = UNSURE
         after = None if response.retry_after is None else response.retry_after.total_seconds()
-        return Reply(ask.number, response.status, response.body, after, ask.token)
+        return ForwardedResponse(ask.number, response.status, response.body, after, ask.token)
 
 
 def _wrong_method() -> Response:
--- a/src/elmthread/leadership/tests/test_election.py
+++ b/src/elmthread/leadership/tests/test_election.py
@@ -128,7 +128,7 @@
     play(main(), loop)
 
 
-def test_a_node_vouches_once_it_has_found_a_term_itself_and_for_no_earlier_than_it_knows_of() -> None:
+def test_a_node_confirms_once_it_has_found_a_term_itself_and_for_no_earlier_than_it_knows_of() -> None:
     _, one, _ = made(F)
     assert not one.has_won_no_later_term(TOKEN)
     # Hearsay may be older than a win of the process before this one.
--- a/src/elmthread/peers/link.py
+++ b/src/elmthread/peers/link.py
@@ -15,7 +15,7 @@
 
 from elmthread.common.clock import seconds
 from elmthread.common.states import step
-from elmthread.peers.messages import Ask, Lead, Message, Reply, decode, encode
+from elmthread.peers.messages import ForwardedRequest, ForwardedResponse, LeaderAnnouncement, Message, decode, encode
 
 log = logging.getLogger(__name__)
 
@@ -43,9 +43,9 @@
     LinkState.UP: frozenset({LinkState.DOWN}),
 }
 
-Answerer = Callable[[Ask], Awaitable[Reply]]
-Hear = Callable[[Lead], None]
-Say = Callable[[], Lead]
+Answerer = Callable[[ForwardedRequest], Awaitable[ForwardedResponse]]
+Hear = Callable[[LeaderAnnouncement], None]
+Say = Callable[[], LeaderAnnouncement]
 
 
 class Dropped:
@@ -97,7 +97,7 @@
         self._hear = hear
         self._say = say
         self._writer: asyncio.StreamWriter | None = None
-        self._asked: dict[int, asyncio.Future[Reply]] = {}
+        self._asked: dict[int, asyncio.Future[ForwardedResponse]] = {}
         self._number = 0
         self.state = LinkState.DOWN
 
@@ -136,14 +136,14 @@
             self._writer.write(pynetstring.encode(encode(self._say())))
 
     def _got(self, message: Message) -> None:
-        if isinstance(message, Reply):
+        if isinstance(message, ForwardedResponse):
             future = self._asked.pop(message.number, None)
             if future is not None and not future.done():
                 future.set_result(message)
-        elif isinstance(message, Lead):
+        elif isinstance(message, LeaderAnnouncement):
             self._hear(message)
 
-    async def ask(self, ask: Ask, timeout: timedelta) -> Reply:
+    async def ask(self, ask: ForwardedRequest, timeout: timedelta) -> ForwardedResponse:
         if self._writer is None:
             raise PeerUnreachableError(self.node)
         if len(self._asked) >= self._most:
@@ -151,7 +151,7 @@
             raise PeerUnreachableError(self.node)
         self._number += 1
         ask.number = self._number
-        future: asyncio.Future[Reply] = asyncio.get_running_loop().create_future()
+        future: asyncio.Future[ForwardedResponse] = asyncio.get_running_loop().create_future()
         self._asked[ask.number] = future
         self._writer.write(pynetstring.encode(encode(ask)))
         try:
@@ -186,7 +186,7 @@
         link = self._links.get(node)
         return link is not None and link.state is LinkState.UP
 
-    async def ask(self, node: str, ask: Ask, timeout: timedelta) -> Reply:
+    async def ask(self, node: str, ask: ForwardedRequest, timeout: timedelta) -> ForwardedResponse:
         link = self._links.get(node)
         if link is None:
             raise PeerUnreachableError(node)
@@ -214,12 +214,12 @@
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         def got(message: Message) -> None:
-            if isinstance(message, Lead):
+            if isinstance(message, LeaderAnnouncement):
                 self._hear(message)
-            elif isinstance(message, Ask):
+            elif isinstance(message, ForwardedRequest):
                 if len(self._busy) >= self._most:
                     log.info("%s questions of peers wait for an answer: no more are taken", len(self._busy))
-                    self._send(writer, Reply(message.number, 503, {"error": "busy"}, 1.0))
+                    self._send(writer, ForwardedResponse(message.number, 503, {"error": "busy"}, 1.0))
                     return
                 task = asyncio.get_running_loop().create_task(self._reply(message, writer))
                 self._busy.add(task)
@@ -234,15 +234,15 @@
             self._in.discard(writer)
             writer.transport.abort()
 
-    async def _reply(self, ask: Ask, writer: asyncio.StreamWriter) -> None:
+    async def _reply(self, ask: ForwardedRequest, writer: asyncio.StreamWriter) -> None:
         try:
             reply = await self._answer(ask)
         except Exception:
             log.exception("while answering a peer")
-            reply = Reply(ask.number, 503, {"error": "internal error"}, 1.0)
+            reply = ForwardedResponse(ask.number, 503, {"error": "internal error"}, 1.0)
         reply.number = ask.number
         self._send(writer, reply)
 
-    def _send(self, writer: asyncio.StreamWriter, reply: Reply) -> None:
+    def _send(self, writer: asyncio.StreamWriter, reply: ForwardedResponse) -> None:
         if not writer.is_closing():
             writer.write(pynetstring.encode(encode(reply)))
--- a/src/elmthread/peers/messages.py
+++ b/src/elmthread/peers/messages.py
@@ -5,7 +5,7 @@
 import msgspec
 
 
-class Lead(msgspec.Struct, tag_field="kind", tag="lead"):
+class LeaderAnnouncement(msgspec.Struct, tag_field="kind", tag="lead"):
     """The sender says who leads, as far as it knows, and by which token."""
 
     leader: str | None
@@ -21,7 +21,7 @@
     level: int | msgspec.UnsetType = msgspec.UNSET
 
 
-class Ask(msgspec.Struct, tag_field="kind", tag="ask"):
+class ForwardedRequest(msgspec.Struct, tag_field="kind", tag="ask"):
     """A user's request, parsed by the node that took it."""
 
     number: int
@@ -34,7 +34,7 @@
     fault: str | None = None
 
 
-class Reply(msgspec.Struct, tag_field="kind", tag="reply"):
+class ForwardedResponse(msgspec.Struct, tag_field="kind", tag="reply"):
     number: int
     status: int
     body: dict[str, Any] | None = None
@@ -43,7 +43,7 @@
     token: int = 0
 
 
-Message = Lead | Ask | Reply
+Message = LeaderAnnouncement | ForwardedRequest | ForwardedResponse
 
 encode = msgspec.json.Encoder().encode
 _decoder: msgspec.json.Decoder[Message] = msgspec.json.Decoder(Message)
--- a/tests/test_gap.py
+++ b/tests/test_gap.py
@@ -185,11 +185,11 @@
     day(script, machines=2, each=0)
 
 
-# An outage in which all nodes vouch that they have not won
+# An outage in which all nodes confirm that they have not won
 
 
 @pytest.mark.parametrize("all_there", [True, False])
-def test_an_outage_costs_no_work_while_all_nodes_vouch(all_there: bool) -> None:
+def test_an_outage_costs_no_work_while_all_nodes_confirm(all_there: bool) -> None:
     """The store is down for two minutes; a node that can't be asked bounds the time of holding."""
 
     async def script(world: World) -> None:
@@ -219,7 +219,7 @@
     assert max(world.rules.starts.values()) == (1 if all_there else 2)
 
 
-def test_a_process_that_knows_a_term_by_hearsay_vouches_for_nothing() -> None:
+def test_a_process_that_knows_a_term_by_hearsay_confirms_nothing() -> None:
     """The process before it has won and confirmed a cancellation, of which it knows nothing."""
 
     async def script(world: World) -> None:
--- a/tests/test_troubles.py
+++ b/tests/test_troubles.py
@@ -7,7 +7,7 @@
 import pytest
 
 from elmthread.common.clock import seconds
-from elmthread.peers.messages import Ask
+from elmthread.peers.messages import ForwardedRequest
 from elmthread.placement.cluster import Machine
 from tests.test_world import day, restore, set_apart, start
 from tests.world.world import World, job
@@ -578,10 +578,10 @@
         assert await world.submit(job(1, true_s=30.0, expected_s=30.0))
         assert world.leader is not None
         leader = world.leader
-        asked = Ask(1, "status", "run-000001", leader.election.token)
+        asked = ForwardedRequest(1, "status", "run-000001", leader.election.token)
         assert (await leader.api.answer(asked)).status == 200
         for token in (asked.token - 1, asked.token + 1, 0):
-            reply = await leader.api.answer(Ask(1, "status", "run-000001", token))
+            reply = await leader.api.answer(ForwardedRequest(1, "status", "run-000001", token))
             assert reply.status == 503 and reply.retry_after_s
         # A follower that has heard of a newer leadership passes on nothing of the older one.
         other = next(one for one in world.controllers.values() if one is not leader)
--- a/tests/test_versions.py
+++ b/tests/test_versions.py
@@ -14,7 +14,7 @@
 
 from elmthread.intake.messages import read_submission
 from elmthread.ledger.log import SLOTS, Slots, slot_bytes
-from elmthread.peers.messages import Ask, Lead, Reply, decode, encode
+from elmthread.peers.messages import ForwardedRequest, ForwardedResponse, LeaderAnnouncement, decode, encode
 from tests.test_rollout import begin_old, fall, upgrade
 from tests.test_world import befall, day, restore
 from tests.world import earlier
@@ -103,9 +103,9 @@
         assert json.loads(encode(message)) == json.loads(text)
     spec = sent(job(1))
     for message in (
-        Lead("loom-1", 41, "loom-0", 2, [("m-000001", 1, 88)], 46),
-        Ask(5, "submit", "run-000001", 41, msgspec.to_builtins(read_submission(spec))),
-        Reply(5, 201, {"name_id": "run-000001"}, None, 41),
+        LeaderAnnouncement("loom-1", 41, "loom-0", 2, [("m-000001", 1, 88)], 46),
+        ForwardedRequest(5, "submit", "run-000001", 41, msgspec.to_builtins(read_submission(spec))),
+        ForwardedResponse(5, 201, {"name_id": "run-000001"}, None, 41),
     ):
         earlier.frame(encode(message).decode())
 
--- a/tests/world/world.py
+++ b/tests/world/world.py
@@ -14,7 +14,7 @@
 from elmthread.common.http import UNSURE, Request, Response
 from elmthread.controller import Controller
 from elmthread.peers.link import Peers
-from elmthread.peers.messages import Ask, Reply
+from elmthread.peers.messages import ForwardedRequest, ForwardedResponse
 from elmthread.rollout.features import SUPPORTED, SupportedLevels
 from elmthread.rollout.settings import RolloutSettings
 from tests.world.loop import NODE, SimLoop
@@ -238,7 +238,7 @@
             def reaches(self, other: str) -> bool:
                 return world.reach(node, other)
 
-            async def ask(self, other: str, ask: Ask, timeout: timedelta) -> Reply:
+            async def ask(self, other: str, ask: ForwardedRequest, timeout: timedelta) -> ForwardedResponse:
                 await asyncio.sleep(0.002)
                 if not world.reach(node, other):
                     raise not_reached(other)
@@ -250,7 +250,7 @@
                     raise not_reached(other) from None
                 if not world.reach(node, other):
                     raise not_reached(other)
-                answer: Reply = world.carried(reply, node)
+                answer: ForwardedResponse = world.carried(reply, node)
                 return answer
 
             def tell(self) -> None:
--- a/tools/schemas.py
+++ b/tools/schemas.py
@@ -19,7 +19,7 @@
 from elmthread.ledger.done_marks import DoneBitmapRecord, DoneRecord
 from elmthread.ledger.log import SlotRecord
 from elmthread.ledger.records import JobRecord, RentalRecord
-from elmthread.peers.messages import Ask, Lead, Reply
+from elmthread.peers.messages import ForwardedRequest, ForwardedResponse, LeaderAnnouncement
 from elmthread.rollout.features import SUPPORTED
 from elmthread.rollout.messages import AnnouncementRecord, FenceRecord, LevelRecord
 
@@ -39,9 +39,9 @@
     "types": list[Type],
     "layout": int,
     "fence": FenceRecord,
-    "message lead": Lead,
-    "message ask": Ask,
-    "message reply": Reply,
+    "message lead": LeaderAnnouncement,
+    "message ask": ForwardedRequest,
+    "message reply": ForwardedResponse,
 }
 ROLLOUT_FORMS: dict[str, Any] = {"announcement": AnnouncementRecord, "level": LevelRecord}
 
