--- /dev/null
+++ b/src/elmthread/rollout/tests/test_command.py
@@ -0,0 +1,70 @@
+"""What an operator is told of a rollout, and the exit codes."""
+
+import socket
+from pathlib import Path
+
+import pytest
+
+from elmthread import cli
+from elmthread.rollout.command import describe
+from elmthread.rollout.features import SupportedLevels
+from elmthread.rollout.settings import RolloutSettings
+from elmthread.rollout.view import Announcement, RolloutView, UnreadableAnnouncement
+from tests.world.world import NODES, settings
+
+MEMBERS = frozenset(NODES)
+SETTINGS = RolloutSettings(enabled=True, soak_s=600.0)
+UPGRADED = SupportedLevels(1, 2)
+
+
+def announced(highest: int = 2, hold_at: int | None = None, at: float = 900.0) -> Announcement:
+    return Announcement(SupportedLevels(1, highest), MEMBERS, 5, "process", at, hold_at)
+
+
+def told(view: RolloutView) -> str:
+    return "\n".join(describe(view, MEMBERS, UPGRADED, SETTINGS, now=1000.0))
+
+
+def test_each_node_and_what_is_waited_for_is_told() -> None:
+    found = {"loom-0": announced(hold_at=1), "loom-1": announced(1), "loom-9": announced()}
+    text = told(RolloutView(1, 0, found))
+    assert text.startswith("active level: 1\n") and "DONE_BITMAPS (level 2): off" in text
+    assert "loom-0: levels 1 to 2, holds at 1, announced 100 s ago" in text
+    assert "loom-2: nothing announced" in text
+    assert "not in these settings: loom-9" in text
+    assert "level 2 waits: loom-1 runs an older version (levels 1 to 1)" in text
+    assert "level 2 waits: loom-0 holds the level by its settings (at 1)" in text
+    assert "level 2 waits: loom-2 has never announced itself" in text
+
+
+def test_the_soak_time_that_is_left_and_the_end_are_told() -> None:
+    everyone = {"loom-0": announced(), "loom-1": announced(at=950.0), "loom-2": announced()}
+    assert "level 2 may be activated, in about 550 s" in told(RolloutView(1, 0, everyone))
+    ended = told(RolloutView(2, 9, everyone))
+    assert "DONE_BITMAPS (level 2): active" in ended and ended.endswith("this version knows no higher level")
+    unreadable = RolloutView(1, 0, {"loom-1": UnreadableAnnouncement(4, "no members")})
+    assert "loom-1: unreadable announcement: no members" in told(unreadable)
+
+
+def test_a_store_out_of_reach_and_bad_settings_end_with_one_line(
+    tmp_path: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    with socket.socket() as closed:
+        # Bound, and never listening: a connection is refused.
+        closed.bind(("127.0.0.1", 0))
+        address = f"127.0.0.1:{closed.getsockname()[1]}"
+        config, own = tmp_path / "settings.toml", tmp_path / "own.toml"
+        config.write_text(settings("loom-0", NODES).replace("10.2.0.1:2379", address))
+        status = ["rollout", "status", "--config", str(config)]
+        assert cli.main(status) == 1
+        assert capsys.readouterr().err.startswith(f"elmthread: {address}: ")
+    for text, named in (
+        ("soak_s = -1", "rollout.soak_s: must be from 0"),
+        ("hold_at = 0", "rollout.hold_at: must be 1 or more"),
+        ("enabeld = true", "enabeld"),
+        ("soak_s = 'long'", "float"),
+    ):
+        own.write_text(f"[rollout]\n{text}\n")
+        assert cli.main([*status, "--operators", str(own)]) == 2
+        told_of = capsys.readouterr().err
+        assert named in told_of and told_of.count("\n") == 1
