More controllers than a transaction can compare keep the level, said once; the rollout's requests counted

Need: no bound may be met unnoticed; the announcements are compared in one transaction, whose conditions the settings limit. Without it the state service would refuse it each second. Also bounds hold_at from above. Counted in a test: four transactions for three starts and the activation, no request once there is no more to raise.

--- a/src/elmthread/controller.py
+++ b/src/elmthread/controller.py
@@ -40,6 +40,8 @@
 log = logging.getLogger(__name__)
 
 LEASE = seconds(2)
+# The state service lets a transaction compare this many keys for each change that it allows.
+GUARDS_FOR_EACH_CHANGE = 4
 # Telling a user `cancelled` is right only if a machine that nobody reaches is empty within
 # cancel_s: an old leader's last answers and the worker's lease must both fit into it.
 CANCEL_SLACK = seconds(4)
@@ -332,7 +334,14 @@
             Membership(platform.node, members), supported, operators.rollout, self._state, self._refused
         )
         self.rollout = RolloutContext(
-            platform.node, members, supported, operators.rollout, gate, ActiveFeatures(), self._process_of
+            platform.node,
+            members,
+            supported,
+            operators.rollout,
+            gate,
+            ActiveFeatures(),
+            GUARDS_FOR_EACH_CHANGE * facts.state.kept().txn_ops,
+            self._process_of,
         )
         self.election = Election(
             platform.node,
--- a/src/elmthread/rollout/features.py
+++ b/src/elmthread/rollout/features.py
@@ -15,6 +15,8 @@
 
 # The forms of the versions that know no levels.
 FIRST_LEVEL = 1
+# Beyond this a number is no level but a fault.
+LAST_LEVEL = 1_000_000
 
 
 class Feature(Enum):
--- a/src/elmthread/rollout/messages.py
+++ b/src/elmthread/rollout/messages.py
@@ -12,7 +12,7 @@
 import msgspec
 
 from elmthread.ledger.messages import Item
-from elmthread.rollout.features import FIRST_LEVEL, SupportedLevels
+from elmthread.rollout.features import FIRST_LEVEL, LAST_LEVEL, SupportedLevels
 from elmthread.rollout.view import Announcement, RolloutView, UnreadableAnnouncement
 
 PREFIX = "rollout/"
@@ -20,7 +20,7 @@
 NODES_PREFIX = f"{PREFIX}nodes/"
 FENCE_KEY = "t/compatibility"
 
-Level = Annotated[int, msgspec.Meta(ge=FIRST_LEVEL, le=1_000_000)]
+Level = Annotated[int, msgspec.Meta(ge=FIRST_LEVEL, le=LAST_LEVEL)]
 
 
 class AnnouncementRecord(msgspec.Struct, omit_defaults=True):
--- a/src/elmthread/rollout/settings.py
+++ b/src/elmthread/rollout/settings.py
@@ -6,7 +6,7 @@
 import msgspec
 
 from elmthread.common.clock import seconds
-from elmthread.rollout.features import FIRST_LEVEL
+from elmthread.rollout.features import FIRST_LEVEL, LAST_LEVEL
 
 LONGEST_SOAK_S = 30 * 86400.0
 
@@ -29,6 +29,6 @@
         """What is wrong with a value, in one line; None where all are good."""
         if not (math.isfinite(self.soak_s) and 0 <= self.soak_s <= LONGEST_SOAK_S):
             return f"rollout.soak_s: must be from 0 to {LONGEST_SOAK_S:.0f}, is {self.soak_s}"
-        if self.hold_at is not None and self.hold_at < FIRST_LEVEL:
-            return f"rollout.hold_at: must be {FIRST_LEVEL} or more, is {self.hold_at}"
+        if self.hold_at is not None and not FIRST_LEVEL <= self.hold_at <= LAST_LEVEL:
+            return f"rollout.hold_at: must be from {FIRST_LEVEL} to {LAST_LEVEL}, is {self.hold_at}"
         return None
--- a/src/elmthread/rollout/term.py
+++ b/src/elmthread/rollout/term.py
@@ -30,6 +30,8 @@
 
 RETRY = seconds(1)
 WATCH = seconds(10)
+# What only an operator can change is looked at again after this time.
+LOOK_AGAIN = seconds(60)
 
 
 class RolloutContext(msgspec.Struct, frozen=True):
@@ -41,6 +43,8 @@
     settings: RolloutSettings
     gate: CompatibilityGate
     features: ActiveFeatures
+    # Conditions that one transaction may have.
+    most_guards: int
     # Which process another node runs now; raises PeerUnreachableError.
     process_of: Callable[[str], Awaitable[str | None]]
 
@@ -122,6 +126,10 @@
             return
         guards = [store.guard(LEADER, self._token), store.guard(messages.LEVEL_KEY, plan.level_stamp)]
         guards += [store.guard(messages.node_key(node), found.stamp) for node, found in plan.announcements]
+        if len(guards) > self._context.most_guards:
+            log.error("%s controllers are more than one transaction can compare: the level stays", len(guards) - 2)
+            await asyncio.sleep(LOOK_AGAIN.total_seconds())
+            return
         record = msgspec.to_builtins(messages.LevelRecord(plan.level, self._token))
         try:
             await self._client.commit(guards, [store.put(messages.LEVEL_KEY, record)])
--- a/src/elmthread/rollout/tests/test_command.py
+++ b/src/elmthread/rollout/tests/test_command.py
@@ -60,7 +60,7 @@
         assert capsys.readouterr().err.startswith(f"elmthread: {address}: ")
     for text, named in (
         ("soak_s = -1", "rollout.soak_s: must be from 0"),
-        ("hold_at = 0", "rollout.hold_at: must be 1 or more"),
+        ("hold_at = 0", "rollout.hold_at: must be from 1"),
         ("enabeld = true", "enabeld"),
         ("soak_s = 'long'", "float"),
     ):
--- a/tests/test_staged_rollout.py
+++ b/tests/test_staged_rollout.py
@@ -94,6 +94,40 @@
     assert max(world.rules.starts.values()) == 1
 
 
+def test_the_rollout_costs_a_transaction_a_start_and_few_requests() -> None:
+    """Counted: two requests at a start, one at a load, two each ten seconds while the leader waits, then none."""
+    requests: list[str] = []
+
+    async def script(world: World, monitor: RolloutMonitor) -> None:
+        apply, serve = world.store.apply, world.store.serve
+
+        def noted(method: str, path: str, body: Any) -> Any:
+            if method == "GET" and "starts=rollout/" in path:
+                requests.append("read")
+            elif path == "/txn" and any(one.get("put", "").startswith("rollout/") for one in body["then"]):
+                requests.append("write")
+            return apply(method, path, body)
+
+        async def watched(method: str, path: str, body: Any) -> Any:
+            if path.startswith("/watch?starts=rollout/"):
+                requests.append("watch")
+            return await serve(method, path, body)
+
+        world.store.apply, world.store.serve = noted, watched  # type: ignore[method-assign]
+        for node in NODES:
+            replace(world, node, SUPPORTED, 0.2)
+        await until_level(world, 2)
+        # Three starts and the activation.
+        assert requests.count("write") == 4
+        # A read a start and a load, and each time an announcement wakes the leader.
+        assert requests.count("read") <= 3 + 3 + 8 and requests.count("watch") <= 8
+        requests.clear()
+        await asyncio.sleep(60)
+        assert requests == []
+
+    staged_day(script)
+
+
 def test_the_level_waits_for_the_soak_time_and_a_new_announcement_starts_it_again() -> None:
     async def script(world: World, monitor: RolloutMonitor) -> None:
         for node in NODES:
@@ -255,6 +289,26 @@
     staged_day(script)
 
 
+def test_more_controllers_than_a_transaction_can_compare_keep_the_level(caplog: pytest.LogCaptureFixture) -> None:
+    world = World()
+    world.rollout = RolloutSettings(enabled=True, soak_s=1.0)
+    # Four keys can be compared: the token, the level and two announcements.
+    world.limits = {"txn_ops": 1}
+
+    async def main() -> None:
+        for node in world.nodes:
+            world.start(node)
+        await asyncio.sleep(30)
+        assert stored_level(world) == 1 and await world.submit(job(1))
+
+    with caplog.at_level(logging.ERROR, "elmthread"):
+        play(main(), world.loop)
+    assert [record.getMessage().split(":")[0] for record in caplog.records] == [
+        "3 controllers are more than one transaction can compare"
+    ]
+    assert world.store.bad_requests == []
+
+
 @pytest.mark.parametrize("seed", range(3))
 def test_an_activation_without_an_answer_is_found_in_the_store_and_not_repeated(seed: int) -> None:
     async def script(world: World, monitor: RolloutMonitor) -> None:
