A refusal while the announcement is on its way stands, and no longer ends the process

Found by rereading: a process that heard of a higher level between sending its announcement and the answer moved from refused to admitted, which the table of states does not allow; the process would have ended. Test: seen failing without the change.

--- a/src/elmthread/rollout/gate.py
+++ b/src/elmthread/rollout/gate.py
@@ -137,7 +137,7 @@
 
     async def _try(self) -> None:
         try:
-            admitted = await self._announce()
+            await self._announce()
         except RejectedTransactionError as error:
             log.error("the state service refuses the announcement of this process: %s", error)
         except StoreError as error:
@@ -148,25 +148,25 @@
         except IncompatibleLevelError:
             return
         else:
-            if admitted:
+            # A leader's word of a higher level may have come meanwhile.
+            if self.state is GateState.ANNOUNCING:
                 self._move(GateState.ADMITTED)
                 self._admission.set()
-                return
+            return
         await asyncio.sleep(RETRY.total_seconds() * random.uniform(0.5, 1.5))
 
-    async def _announce(self) -> bool:
-        """True once this process's announcement is known to stand, or none is wanted."""
+    async def _announce(self) -> None:
+        """Returns once this process's announcement is known to stand, or none is wanted."""
         view = messages.read_view((await read_records(self._client)).items)
         self.check(view.level)
         if not self._settings.enabled:
-            return True
+            return
         own = view.announcements.get(self._membership.node)
         if isinstance(own, Announcement) and own.process == self.process:
             # Of an earlier sending without an answer; what remains of it fails on this stamp.
-            return True
+            return
         await self._write(view, 0 if own is None else own.stamp)
         log.info("levels %s to %s are announced", self._supported.lowest, self._supported.highest)
-        return True
 
     async def _write(self, view: RolloutView, own_stamp: int) -> None:
         record = messages.AnnouncementRecord(
--- /dev/null
+++ b/src/elmthread/rollout/tests/test_gate.py
@@ -0,0 +1,46 @@
+"""A process that hears of a level it can't read while its announcement is on its way."""
+
+import asyncio
+from typing import Any
+
+import pytest
+
+from elmthread.ledger.messages import Page
+from elmthread.rollout.features import SupportedLevels
+from elmthread.rollout.gate import CompatibilityGate, GateState, IncompatibleLevelError, Membership
+from elmthread.rollout.settings import RolloutSettings
+
+
+class SlowStore:
+    """A store that is empty, and takes a while to carry out a transaction."""
+
+    async def page(self, prefix: str, after: str | None, most: int) -> Page:
+        return Page([], 1)
+
+    async def commit(self, guards: Any, then: Any) -> int:
+        await asyncio.sleep(0.05)
+        return 2
+
+
+def test_a_refusal_while_the_announcement_is_on_its_way_stands() -> None:
+    refusals: list[str] = []
+
+    async def main() -> None:
+        gate = CompatibilityGate(
+            Membership("a", frozenset({"a"})),
+            SupportedLevels(1, 1),
+            RolloutSettings(enabled=True),
+            SlowStore(),  # type: ignore[arg-type]
+            lambda: refusals.append("refused"),
+        )
+        running = asyncio.create_task(gate.run())
+        await asyncio.sleep(0.02)
+        with pytest.raises(IncompatibleLevelError):
+            gate.check(2)
+        await asyncio.sleep(0.1)
+        # It once was a change of state that the table does not allow, which ended the process.
+        assert gate.state is GateState.REFUSED and not gate.admitted and not running.done()
+        running.cancel()
+
+    asyncio.run(main())
+    assert refusals == ["refused"]
