--- a/tests/test_four_thousand.py
+++ b/tests/test_four_thousand.py
@@ -14,6 +14,7 @@
 from elmthread.common.http import Server
 from elmthread.placement import decide
 from tests.test_world import day
+from tests.world.counting import count_calls
 from tests.world.world import ZONES, World, job
 
 MACHINES = 4000
@@ -25,17 +26,6 @@
 CHANGES_PER_SECOND = 60
 
 
-def count_calls(patch: pytest.MonkeyPatch, calls: Counter[str], owner: Any, name: str) -> None:
-    """Counts each call of a function and leaves it as it is."""
-    real = getattr(owner, name)
-
-    def counted(*arguments: Any, **named: Any) -> Any:
-        calls[name] += 1
-        return real(*arguments, **named)
-
-    patch.setattr(owner, name, counted)
-
-
 def test_four_thousand_machines_through_an_election_a_load_and_a_reporting_storm(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -14,22 +14,18 @@
 from elmthread.placement.service import Placement
 from elmthread.sizing.service import Sizing
 from tests.test_world import day, set_apart, start
+from tests.world.counting import count_calls
 from tests.world.world import World, job
 
 MACHINES = 300
 JOBS = 50
 
 
-def test_hundreds_of_machines_and_a_fail_over() -> None:
+def test_hundreds_of_machines_and_a_fail_over(monkeypatch: pytest.MonkeyPatch) -> None:
     """Thousands of tasks; the work for each stays within bounds that a quadratic slip would break."""
     changes: Counter[int] = Counter()  # by second
-    looks = 0
-    fits = decide.fits
-
-    def counted(want: decide.Want, slot: decide.Slot, room: decide.Room, apart: bool = False) -> int:
-        nonlocal looks
-        looks += 1
-        return fits(want, slot, room, apart)
+    calls: Counter[str] = Counter()
+    count_calls(monkeypatch, calls, decide, "fits")
 
     async def script(world: World) -> None:
         transact = world.store._transact
@@ -66,18 +62,14 @@
         states = await world.until_over(ids, 100)
         assert set(states.values()) == {"done"}
 
-    decide.fits = counted
-    try:
-        world = day(script, machines=0, controllers=5, each=MACHINES)
-    finally:
-        decide.fits = fits
+    world = day(script, machines=0, controllers=5, each=MACHINES)
     tasks = sum(world.rules.starts.values())
     # A lease outlasts a crash: hardly a task is started again for it.
     assert tasks < 1.02 * len(world.rules.starts)
     assert sum(changes.values()) < tasks / 10
     # The rate with its burst, and the other nodes' share.
     assert max(changes.values()) <= 30 * 2
-    assert looks < 10 * tasks, looks / tasks
+    assert calls["fits"] < 10 * tasks, calls["fits"] / tasks
 
 
 def test_everything_back_at_once_and_a_second_time_before_the_first_is_over() -> None:
@@ -209,18 +201,9 @@
     """Most of what reports list runs on as before: neither is it taken in again, nor weighed for a command."""
     work: Counter[str] = Counter()
 
-    def count(owner: Any, name: str) -> None:
-        real = getattr(owner, name)
-
-        def counted(*arguments: Any) -> Any:
-            work[name] += 1
-            return real(*arguments)
-
-        monkeypatch.setattr(owner, name, counted)
-
-    count(Agents, "heartbeat")
-    count(Agents, "_seen")
-    count(messages, "task_name")
+    count_calls(monkeypatch, work, Agents, "heartbeat")
+    count_calls(monkeypatch, work, Agents, "_seen")
+    count_calls(monkeypatch, work, messages, "task_name")
 
     async def script(world: World) -> None:
         for _ in range(4):
