--- a/src/elmthread/intake/command.py
+++ b/src/elmthread/intake/command.py
@@ -4,6 +4,7 @@
 import asyncio
 import json
 import sys
+from pathlib import Path
 from typing import Any
 
 from elmthread.common.clock import seconds
@@ -32,12 +33,20 @@
 
 def _request(args: argparse.Namespace) -> tuple[str, str, Any]:
     if args.verb == "submit":
-        text = sys.stdin.read() if str(args.job) == "-" else args.job.read_text()
-        return "POST", "/submissions", json.loads(text)
+        return "POST", "/submissions", _read_job(args.job)
     if args.verb == "status":
         return "GET", f"/submissions/{args.job}", None
     return "POST", f"/submissions/{args.job}/withdraw", {}
 
 
+def _read_job(path: Path) -> Any:
+    """The job that a file, or standard input for `-`, holds as JSON. Raises OSError, and ValueError naming the file."""
+    from_stdin = str(path) == "-"
+    try:
+        return json.loads(sys.stdin.read() if from_stdin else path.read_text())
+    except ValueError as error:
+        raise ValueError(f"{'standard input' if from_stdin else path}: not JSON: {error}") from error
+
+
 async def _call(server: str, method: str, path: str, body: Any) -> Answer:
     return await Client(server).call(method, path, body, timeout=CALL_TIME)
--- a/src/elmthread/settings/operators.py
+++ b/src/elmthread/settings/operators.py
@@ -91,5 +91,5 @@
         return Operators(Raw())
     try:
         return parse(path.read_text())
-    except (OSError, UnicodeDecodeError) as error:
+    except (OSError, UnicodeDecodeError, SettingsError) as error:
         raise SettingsError(f"{path}: {error}") from error
--- a/src/elmthread/settings/platform.py
+++ b/src/elmthread/settings/platform.py
@@ -167,7 +167,7 @@
 def load(path: Path) -> Platform:
     try:
         return parse(path.read_text())
-    except (OSError, UnicodeDecodeError) as error:
+    except (OSError, UnicodeDecodeError, SettingsError) as error:
         raise SettingsError(f"{path}: {error}") from error
 
 
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,10 +1,16 @@
 """Lets the tests that KNOWN-RED.txt lists fail, and only these; prints them."""
 
+from collections.abc import Collection, Sequence
+from typing import TYPE_CHECKING
+
 import pytest
 from _pytest.terminal import TerminalReporter
 
 from tests.known_red import BadListError, KnownRed, read
 
+if TYPE_CHECKING:
+    from xdist.workermanage import WorkerController
+
 LISTED = pytest.StashKey[list[KnownRed]]()
 
 
@@ -15,18 +21,29 @@
         raise pytest.UsageError(str(error)) from error
 
 
-def pytest_collection_modifyitems(config: pytest.Config, items: list[pytest.Item]) -> None:
-    by_id = {item.nodeid: item for item in items}
+def check_listed(config: pytest.Config, collected: Collection[str]) -> None:
+    """Raises UsageError where all tests are run and one that is listed is not among them."""
     chosen = config.option.keyword or config.option.markexpr
     whole = config.args_source is pytest.Config.ArgsSource.TESTPATHS and not chosen
     for one in config.stash[LISTED]:
-        item = by_id.get(one.test)
-        if item is not None:
-            item.add_marker(pytest.mark.xfail(strict=True, reason=f"{one.cause} ({one.issue})"))
-        elif whole:
+        if whole and one.test not in collected:
             raise pytest.UsageError(f"KNOWN-RED.txt names no test of this run: {one.test}")
 
 
+def pytest_collection_modifyitems(config: pytest.Config, items: list[pytest.Item]) -> None:
+    by_id = {item.nodeid: item for item in items}
+    for one in config.stash[LISTED]:
+        if one.test in by_id:
+            by_id[one.test].add_marker(pytest.mark.xfail(strict=True, reason=f"{one.cause} ({one.issue})"))
+    check_listed(config, by_id.keys())
+
+
+@pytest.hookimpl(optionalhook=True)
+def pytest_xdist_node_collection_finished(node: "WorkerController", ids: Sequence[str]) -> None:
+    """The worker processes of pytest-xdist are told which tests to run, not whether these are all; this one knows."""
+    check_listed(node.config, ids)
+
+
 def pytest_terminal_summary(terminalreporter: TerminalReporter, config: pytest.Config) -> None:
     for one in config.stash[LISTED]:
         terminalreporter.write_line(f"known red: {one.test}: {one.cause} ({one.issue})")
--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -18,21 +18,36 @@
 """
 
 
-def run(pytester: pytest.Pytester, listed: str, other: bool = True) -> pytest.RunResult:
+@pytest.fixture(params=[0, 2], ids=["one process", "worker processes"])
+def processes(request: pytest.FixtureRequest) -> int:
+    """Tests run in one process and in several must come to the same verdict."""
+    count: int = request.param
+    return count
+
+
+def run(pytester: pytest.Pytester, listed: str | None, processes: int, other: bool = True) -> pytest.RunResult:
+    """Runs three tests in this many worker processes; 0: in the one process of pytest itself."""
     folder = pytester.mkpydir("tests")
     for name in ("conftest.py", "known_red.py"):
         shutil.copy(HERE / name, folder)
     (folder / "test_some.py").write_text(TESTS.format(other=other))
-    (pytester.path / "KNOWN-RED.txt").write_text(listed)
+    if listed is not None:
+        (pytester.path / "KNOWN-RED.txt").write_text(listed)
     pytester.makeini("[pytest]\ntestpaths = tests\npythonpath = .\n")
-    return pytester.runpytest_subprocess()
+    return pytester.runpytest_subprocess("-n", str(processes), "--dist", "worksteal")
 
 
 RED = "tests/test_some.py::test_red, fails, and we know why, issue 7\n"
 
 
-def test_a_listed_test_may_fail_and_is_printed(pytester: pytest.Pytester) -> None:
-    result = run(pytester, RED)
+def test_an_absent_list_excuses_nothing(pytester: pytest.Pytester, processes: int) -> None:
+    result = run(pytester, None, processes)
+    assert result.ret == 1
+    result.assert_outcomes(passed=2, failed=1)
+
+
+def test_a_listed_test_may_fail_and_is_printed(pytester: pytest.Pytester, processes: int) -> None:
+    result = run(pytester, RED, processes)
     assert result.ret == 0
     result.stdout.fnmatch_lines(["known red: tests/test_some.py::test_red: fails, and we know why (issue 7)"])
     result.assert_outcomes(passed=2, xfailed=1)
@@ -50,5 +65,5 @@
     ],
     ids=["not listed", "another fails", "a listed one passes", "no such test", "no cause", "more than three"],
 )
-def test_nothing_else_is_excused(pytester: pytest.Pytester, listed: str, other: bool) -> None:
-    assert run(pytester, listed, other).ret != 0
+def test_nothing_else_is_excused(pytester: pytest.Pytester, listed: str, other: bool, processes: int) -> None:
+    assert run(pytester, listed, processes, other).ret != 0
--- a/tests/world/world.py
+++ b/tests/world/world.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextvars
 import importlib
+import inspect
 import random
 from collections.abc import Coroutine
 from dataclasses import replace
@@ -189,6 +190,8 @@
         self.workers: dict[str, Worker] = {}
         self.controllers: dict[str, Controller] = {}
         self.ports: dict[str, list[Port]] = {}
+        # Requests that a node is at work on.
+        self.at_work: dict[str, set[Coroutine[Any, Any, Any]]] = {}
         # What runs in a node's context stands still with it.
         self.contexts: dict[str, contextvars.Context] = {}
         self.tasks: dict[str, asyncio.Task[None]] = {}
@@ -296,7 +299,11 @@
             port.trouble.dead = True
             port.trouble.testament = self.rng.random() < 0.5
         controller = self.controllers.pop(node)
-        self.loop.still.pop(node, None)
+        if self.loop.still.pop(node, None) is not None:
+            # It stood still: what it had not begun by then, it never begins.
+            for work in self.at_work.pop(node, set()):
+                if inspect.getcoroutinestate(work) == inspect.CORO_CREATED:
+                    work.close()
         self.tasks.pop(node).cancel()
         if controller._leading is not None:
             controller._leading.cancel()
@@ -304,6 +311,9 @@
     async def within(self, node: str, work: Coroutine[Any, Any, T]) -> T:
         """Runs a part of a node's work where it stands still with the node."""
         task = self.loop.create_task(work, context=self.contexts[node])
+        at_work = self.at_work.setdefault(node, set())
+        at_work.add(work)
+        task.add_done_callback(lambda _: at_work.discard(work))
         try:
             # Not awaited itself: a node that is killed while it stands still never ends its work,
             # and who waits for it must not wait for ever.
