--- a/src/elmthread/agents/service.py
+++ b/src/elmthread/agents/service.py
@@ -17,7 +17,6 @@
 from elmthread.agents import messages
 from elmthread.agents.health import Health
 from elmthread.agents.messages import Report, Task
-from elmthread.agents.reach import Reach, Stray, should_give_way
 from elmthread.common.clock import Clock, at_least, seconds
 from elmthread.common.http import MalformedBodyError, Request, Response, again, decode
 from elmthread.leadership.election import Term
@@ -34,6 +33,7 @@
     MachineState,
     Stop,
 )
+from elmthread.reachability.strays import Stray
 from elmthread.rollout.features import ActiveFeatures
 from elmthread.sizing.work import WorkModel
 
@@ -43,8 +43,6 @@
 LINGER = seconds(0.4)
 # Answers that started something in vain, one after the other, before a machine is taken for deaf.
 MISSED = 3
-# Silence of fewer machines than this says nothing about the node itself.
-TOUCH_LEAST = 4
 STATES = {"fetching": AllocationState.FETCHING, "running": AllocationState.RUNNING, "saving": AllocationState.SAVING}
 
 
@@ -78,7 +76,6 @@
         self.health = Health()
         self.dropped = 0
         self._waiting: dict[str, asyncio.Event] = {}
-        self._began = clock()
 
     # Reports
 
@@ -156,6 +153,7 @@
         that answers arrive. So does a report on a connection on which an answer went out since
         the session rose, unless answers have come before and nothing was done for them.
         """
+        machine.answers_arrive = answered_at is not None
         session = machine.newest[0]
         if report.session != session:
             if machine.reported_at is not None:
@@ -210,24 +208,8 @@
             machine_key(machine.name), Rank.ASSIGN, lambda: machine_record(machine, self._features), durable
         )
 
-    def out_of_reach(self, reach: Reach) -> bool:
-        """Most machines are silent here and reach another node."""
-        elsewhere = reach.elsewhere(self._term.token, self._is_news)
-        if not elsewhere:
-            return False
-        now = self._clock()
-        expected = [machine for machine in self._cluster.machines.values() if machine.expected]
-        silent = sum(machine.unheard(now, self._began) for machine in expected)
-        return should_give_way(len(expected), silent, elsewhere)
-
-    def out_of_touch(self) -> bool:
-        """Most machines are silent: where no other controller is reached either, it is this node."""
-        now = self._clock()
-        expected = [machine for machine in self._cluster.machines.values() if machine.expected]
-        silent = sum(machine.unheard(now, self._began) for machine in expected)
-        return len(expected) >= TOUCH_LEAST and silent * 2 > len(expected)
-
-    def _is_news(self, stray: Stray) -> bool:
+    def is_news(self, stray: Stray) -> bool:
+        """Whether a machine sent that report after all that this leader has had of it."""
         name, *newest = stray
         machine = self._cluster.machines.get(name)
         return machine is not None and tuple(newest) > machine.newest
--- a/src/elmthread/controller.py
+++ b/src/elmthread/controller.py
@@ -2,13 +2,11 @@
 
 import asyncio
 import logging
-from collections.abc import Callable
 from datetime import timedelta
 
 import msgspec
 
 from elmthread.agents.messages import HEARTBEAT_PATH
-from elmthread.agents.reach import Reach
 from elmthread.agents.service import Agents
 from elmthread.common.clock import Clock, at_least, at_most, seconds, steady
 from elmthread.common.http import Caller, Client, ConnectionLimit, Request, Response, Server
@@ -29,6 +27,9 @@
 from elmthread.peers.messages import ForwardedRequest, ForwardedResponse, LeaderAnnouncement
 from elmthread.placement.cluster import ClusterState, Job
 from elmthread.placement.service import Placement
+from elmthread.reachability.bounds import ReachabilityBounds
+from elmthread.reachability.census import Census
+from elmthread.reachability.service import Reachability, TermReachability
 from elmthread.rollout.features import SUPPORTED, ActiveFeatures, Feature, SupportedLevels
 from elmthread.rollout.gate import CompatibilityGate, IncompatibleLevelError, Membership
 from elmthread.rollout.term import RolloutContext, TermRollout
@@ -51,8 +52,6 @@
 PEER_ANSWER_TIME = seconds(1)
 ROUND = seconds(0.1)
 GATHER = seconds(0.5)
-# A leader that reaches nobody but the state service gives way, though not more often than this.
-ALONE_AGAIN = seconds(120)
 # Passes of the event loop in which an answer leaves for what has just become durable. The change
 # that it tells of causes a round of decisions, which on a small share takes longer than all of them.
 ANSWER_PASSES = 6
@@ -94,16 +93,12 @@
         cloud: Caller,
         clock: Clock,
         load: Load,
-        reach: Reach,
-        may_be_alone: Callable[[], bool],
-        gave_way_alone: Callable[[], None],
+        reachability: Reachability,
+        peers: Peers,
         token: int,
         rollout: RolloutContext,
     ) -> None:
         self._rollout = rollout
-        self._reach = reach
-        self._may_be_alone = may_be_alone
-        self._gave_way_alone = gave_way_alone
         self._load = load
         self._platform = platform
         self._operators = operators
@@ -119,6 +114,17 @@
         self._slots = Slots(slot_bytes(store.value_kb))
         rate = store.write_rps * LEADERS_PART
         self.cluster = ClusterState(self._slots.most, machine_frame)
+        census = Census(self.cluster.machines, clock, reachability.bounds.report_overdue, clock())
+        self.reachability = TermReachability(
+            reachability,
+            census,
+            token,
+            self.term.leads,
+            lambda stray: self.agents.is_news(stray),
+            peers,
+            clock,
+            self.term.step_down,
+        )
         self.writer = Writer(
             state,
             token,
@@ -143,6 +149,8 @@
             self._next_rental,
             self.changed,
             self._lacking,
+            census,
+            self.reachability.in_doubt,
         )
         self.intake = Intake(
             self.cluster,
@@ -240,7 +248,7 @@
             group.create_task(self.fleet.run())
             group.create_task(self._place())
             group.create_task(self._size())
-            group.create_task(self._watch_reach())
+            group.create_task(self.reachability.run())
             group.create_task(rollout.run())
 
     async def _place(self) -> None:
@@ -258,22 +266,6 @@
                 self.placement.round()
             await asyncio.sleep(self._pause(ROUND, began))
 
-    async def _watch_reach(self) -> None:
-        while True:
-            await asyncio.sleep(GATHER.total_seconds())
-            if not self.term.leads():
-                continue
-            if self.agents.out_of_reach(self._reach):
-                self._give_way("most machines don't reach this node, and reach another")
-            elif self._may_be_alone() and self.agents.out_of_touch():
-                self._gave_way_alone()
-                self._give_way("neither most machines nor another controller are reached")
-
-    def _give_way(self, why: str) -> None:
-        log.info("%s", why)
-        self.term.rest()
-        self.term.step_down("the workers are out of reach")
-
     async def _time_to_decide(self) -> None:
         """Decisions wait while there is not even time for answers, though not for ever."""
         for _ in range(MOST_PUT_OFF):
@@ -327,7 +319,16 @@
         # A follower needs little of the state service's rate; a leader takes its own part.
         self._store_rps = facts.state.kept().rps
         self._requests = TokenBucket(self._store_rps * OTHERS_PART, self._store_rps * OTHERS_PART, clock)
-        self._state = StateClient(state or Client(platform.endpoints.state), self._requests)
+        self._features = ActiveFeatures()
+        self.reachability = Reachability(
+            platform.node,
+            [other.node for other in platform.others],
+            ReachabilityBounds(LEASE, facts.workers.report, facts.workers.lease),
+            clock,
+            self._features,
+            facts.workers.lease * QUIET,
+        )
+        self._state = StateClient(state or Client(platform.endpoints.state), self._requests, self.reachability.store)
         self._cloud = cloud or Client(platform.endpoints.cloud)
         members = frozenset({platform.node, *(other.node for other in platform.others)})
         gate = CompatibilityGate(
@@ -339,7 +340,7 @@
             supported,
             operators.rollout,
             gate,
-            ActiveFeatures(),
+            self._features,
             GUARDS_FOR_EACH_CHANGE * facts.state.kept().txn_ops,
             self._process_of,
         )
@@ -352,6 +353,7 @@
             self._won,
             self._lost,
             gate.wait_admitted,
+            self.reachability,
         )
         links = {other.node: split_address(other.address) for other in platform.others}
         self.peers = peers(
@@ -362,8 +364,7 @@
             users_at_once(platform),
         )
         self.load = Load(clock)
-        self.reach = Reach(clock, facts.workers.lease * QUIET)
-        self.rollout.features.on_change(self.peers.tell)
+        self._features.on_change(self.peers.tell)
         self.api = Api(
             platform.node,
             self.election,
@@ -377,7 +378,6 @@
         most = max(10, int(facts.limits.max_connections * SERVERS_PART))
         workers = ConnectionLimit(HEARTBEAT_PATH, max(5, int(most * WORKERS_PART)), facts.workers.lease)
         self.server = Server(self.api.handle, most, clock, workers)
-        self._alone_at: timedelta | None = None
         self.leader: Leader | None = None
         self._leading: asyncio.Task[None] | None = None
 
@@ -391,28 +391,15 @@
             self._cloud,
             self._clock,
             self.load,
-            self.reach,
-            self._may_be_alone,
-            self._gave_way_alone,
+            self.reachability,
+            self.peers,
             token,
             self.rollout,
         )
+        self.reachability.term = self.leader.reachability
         self._leading = asyncio.get_running_loop().create_task(self._lead(self.leader))
         self.peers.tell()
 
-    def _may_be_alone(self) -> bool:
-        """No other controller is reached: this node may be cut off from all but the state service.
-
-        Nobody can tell it who reports elsewhere then. It gives way once, and not again for a
-        while: if the others are dead and the machines too, leading is better than nothing.
-        """
-        again = self._alone_at is not None and self._clock() - self._alone_at < ALONE_AGAIN
-        others = [other.node for other in self._platform.others]
-        return bool(others) and not again and not any(self.peers.reaches(node) for node in others)
-
-    def _gave_way_alone(self) -> None:
-        self._alone_at = self._clock()
-
     async def check_for_newer_terms(self) -> None:
         """While this node holds: as long as all others confirm that they have not won, it may go on.
 
@@ -452,7 +439,6 @@
         except Exception:
             # A fault in one leader's work: another, with a view built anew, may fare better.
             log.exception("the leader's work has failed")
-            self.election.rest()
             leader.term.step_down("a fault")
 
     def _refused(self) -> None:
@@ -465,7 +451,7 @@
             self.leader.stop()
         if self._leading is not None:
             self._leading.cancel()
-        self.leader = self._leading = None
+        self.leader = self._leading = self.reachability.term = None
         self.peers.tell()
 
     def _intake(self) -> Intake | None:
@@ -478,7 +464,7 @@
         if leader is None or not leader.loaded:
             known = self.election.leader
             other = None if known == self._platform.node else known
-            return self.reach.turn_away(request, other, self.election.seen_token)
+            return self.reachability.turn_away(request, other, self.election.seen_token)
         return await leader.agents.heartbeat(request)
 
     def hear(self, lead: LeaderAnnouncement) -> None:
@@ -487,7 +473,7 @@
         if lead.level is not msgspec.UNSET:
             self._hear_level(lead.level)
         if lead.node:
-            self.reach.hear(lead.node, lead.strays, lead.some, lead.token, lead.machines)
+            self.reachability.hear(lead)
 
     def _hear_level(self, level: int) -> None:
         try:
@@ -502,7 +488,10 @@
     def _say(self) -> LeaderAnnouncement:
         token = self.election.seen_token
         machines = len(self.leader.cluster.machines) if self.leader is not None else 0
-        lead = LeaderAnnouncement(self.election.leader, token, self._platform.node, *self.reach.strays(token), machines)
+        lead = LeaderAnnouncement(
+            self.election.leader, token, self._platform.node, *self.reachability.strays.strays(token), machines
+        )
+        self.reachability.add_to(lead)
         if self.leader is not None and self.rollout.features.is_active(Feature.LEVEL_IN_ANNOUNCEMENTS):
             lead.level = self.rollout.features.level
         return lead
--- a/src/elmthread/fleet/service.py
+++ b/src/elmthread/fleet/service.py
@@ -7,7 +7,7 @@
 
 import asyncio
 import logging
-from collections import Counter, deque
+from collections import deque
 from collections.abc import Callable, Coroutine
 from dataclasses import dataclass
 from datetime import timedelta
@@ -25,6 +25,7 @@
 )
 from elmthread.ledger.writer import Rank, Writer
 from elmthread.placement.cluster import ClusterState, Machine, MachineState
+from elmthread.reachability.census import Census
 
 log = logging.getLogger(__name__)
 
@@ -95,7 +96,12 @@
         next_name: Callable[[], str],
         changed: Callable[[], None],
         lacking: Callable[[], None],
+        census: Census,
+        in_doubt: Callable[[str], bool],
     ) -> None:
+        """`in_doubt` says whether the silence of a zone's machines may be a fault of this node's own link."""
+        self._census = census
+        self._in_doubt = in_doubt
         self._cluster = cluster
         self._cloud = cloud
         self._writer = writer
@@ -117,7 +123,6 @@
         self._judged_at: timedelta | None = None
         self._types_at: timedelta | None = None
         self._tasks: set[asyncio.Task[None]] = set()
-        self._began = clock()
         self._cut: frozenset[str] = frozenset()
         # Hardly any machine is silent, so one that is has failed by itself.
         self._few_silent = True
@@ -279,7 +284,7 @@
         self._writer.write(rental_key(order.name), Rank.ASSIGN, lambda: record, lambda: self._ready.append(order))
 
     def refused(self, kind: Kind) -> bool:
-        if kind.zone in self._cut:
+        if kind.zone in self._cut or self._in_doubt(kind.zone):
             return True
         until = self._refused.get(kind)
         return until is not None and self._clock() < until[0]
@@ -367,7 +372,7 @@
     def _judge(self) -> None:
         """Each machine's silence, notice and health, against what it may still hold."""
         now = self._clock()
-        self._find_cut(now)
+        self._find_cut()
         quiet_after = self._lease * QUIET
         for machine in list(self._cluster.machines.values()):
             machine.cut = machine.zone in self._cut
@@ -385,7 +390,7 @@
             if machine.state is MachineState.DELETING:
                 self._expire(machine, now)
                 continue
-            kept = CUT_KEPT if machine.cut else ZERO
+            kept = CUT_KEPT if machine.cut or self._in_doubt(machine.zone) else ZERO
             if machine.state is MachineState.BOOTING:
                 kind = self.types.get(machine.build)
                 bound = seconds(kind.boot_s) * BOOTS + BOOT_SLACK if kind else seconds(300)
@@ -404,22 +409,20 @@
                 self.give_up(machine, "silent")
             elif (
                 machine.standing_cpus > 0
+                and not kept
                 and self._few_silent
                 and machine.state is MachineState.UP
                 and self._silence(machine, now) > self._lease * LIKELY_DEAD
             ):
                 self.give_up(machine, "silent, and its replicas are to return")
 
-    def _find_cut(self, now: timedelta) -> None:
-        expected: Counter[str] = Counter()
-        silent: Counter[str] = Counter()
-        for machine in self._cluster.machines.values():
-            if machine.expected:
-                expected[machine.zone] += 1
-                silent[machine.zone] += machine.unheard(now, self._began)
-        self._few_silent = silent.total() <= max(1, FEW_SILENT * expected.total())
+    def _find_cut(self) -> None:
+        total = self._census.total()
+        self._few_silent = total.silent <= max(1, FEW_SILENT * total.expected)
         cut = frozenset(
-            zone for zone, count in silent.items() if count >= CUT_LEAST and count > CUT_PART * expected[zone]
+            zone
+            for zone, count in self._census.zones().items()
+            if count.silent >= CUT_LEAST and count.silent > CUT_PART * count.expected
         )
         if cut != self._cut:
             log.info("zones that seem to be cut off: %s", ", ".join(sorted(cut)) or "none")
--- a/src/elmthread/fleet/tests/test_service.py
+++ b/src/elmthread/fleet/tests/test_service.py
@@ -13,6 +13,7 @@
 from elmthread.ledger.pacing import TokenBucket
 from elmthread.ledger.writer import Rank
 from elmthread.placement.cluster import REMEMBERED, ClusterState, Machine, MachineState
+from elmthread.reachability.census import Census
 from tests.world.loop import SimLoop, play
 
 KIND = Kind("small", "east", True)
@@ -67,6 +68,8 @@
         lambda: next(names),
         lambda: None,
         lambda: None,
+        Census(cluster.machines, clock, seconds(4), clock()),
+        lambda zone: False,
     )
     one.set_types([Type("small", 4.0, 0.0, 8.0, 80.0, 0.2, 0.26, 0.1, 50.0, ["east"])])
     return cloud, cluster, one
--- a/src/elmthread/leadership/election.py
+++ b/src/elmthread/leadership/election.py
@@ -14,6 +14,7 @@
 from collections.abc import Awaitable, Callable
 from datetime import timedelta
 from enum import Enum, auto
+from typing import Protocol
 
 import msgspec
 
@@ -36,8 +37,6 @@
 MARGIN = seconds(0.15)
 RETRY = seconds(0.3)
 WATCH = seconds(10)
-# A node that was found unfit to lead leaves leading to others for this long.
-REST = seconds(4)
 
 
 class Role(Enum):
@@ -53,6 +52,34 @@
 }
 
 
+class StandingPolicy(Protocol):
+    """What keeps a node from standing for a while, though leadership is vacant."""
+
+    def wait_before_standing(self, vacant_for: timedelta, token: int) -> timedelta:
+        """How long to leave leading to others; `token` is that of the last term that is known."""
+
+    def term_ended(self) -> None:
+        """A term of this node has ended before its process did."""
+
+    def watch_time(self, usual: timedelta) -> timedelta:
+        """How long a follower waits for news before it asks again."""
+
+
+class StandAtOnce:
+    """Nothing keeps the node from standing."""
+
+    def wait_before_standing(self, vacant_for: timedelta, token: int) -> timedelta:
+        """No wait."""
+        return ZERO
+
+    def term_ended(self) -> None:
+        """Nothing is remembered."""
+
+    def watch_time(self, usual: timedelta) -> timedelta:
+        """The usual time."""
+        return usual
+
+
 class LeaderRecord(msgspec.Struct):
     node: str
     nonce: str
@@ -70,8 +97,10 @@
         won: Callable[[int], None],
         lost: Callable[[], None],
         wait_admitted: Callable[[], Awaitable[None]] | None = None,
+        standing: StandingPolicy | None = None,
     ) -> None:
-        """`wait_admitted` returns once this process may stand at all."""
+        """`wait_admitted` returns once this process may stand at all; `standing` says when it does."""
+        self._standing = standing or StandAtOnce()
         self._wait_admitted = wait_admitted
         self._node = node
         self._client = client
@@ -91,7 +120,8 @@
         # The last term that this very process has found in the store or won, and whether it stands.
         self._found_token = 0
         self._stands = False
-        self._rest_until = ZERO
+        # Since when this node has seen that nobody leads.
+        self._vacant_since: timedelta | None = None
         self._given_up = asyncio.Event()
 
     def _move(self, new: Role) -> None:
@@ -154,12 +184,9 @@
         if self.leader == self._node:
             self.leader = None
         self._given_up.set()
+        self._standing.term_ended()
         self._lost()
 
-    def rest(self) -> None:
-        """This node is unfit to lead for now: another try at once would find the same."""
-        self._rest_until = self._clock() + REST
-
     async def run(self) -> None:
         while True:
             if self._wait_admitted is not None:
@@ -177,11 +204,16 @@
             self.leader = None
             # A short random wait: two nodes that try at once both spend a change.
             await asyncio.sleep(random.uniform(0.0, 0.05))
-            if self._clock() < self._rest_until:
-                await asyncio.sleep(RETRY.total_seconds())
+            now = self._clock()
+            if self._vacant_since is None:
+                self._vacant_since = now
+            wait = self._standing.wait_before_standing(now - self._vacant_since, self.seen_token)
+            if wait > ZERO:
+                await asyncio.sleep(min(wait, RETRY).total_seconds())
                 return
             await self._stand()
             return
+        self._vacant_since = None
         record = _record(item)
         if record.node == self._node:
             # Of an earlier process of this node: dead, since a node runs one process at a
@@ -193,7 +225,7 @@
         self._found_token = item.stamp
         revision = page.revision
         while True:
-            news = await self._client.watch(LEADER, revision, WATCH)
+            news = await self._client.watch(LEADER, revision, self._standing.watch_time(WATCH))
             if news.news:
                 return
             revision = max(revision, news.revision)
@@ -228,6 +260,7 @@
         self.token = self.seen_token = self._found_token = stamp
         self.leader = self._node
         self._given_up.clear()
+        self._vacant_since = None
         self._move(Role.LEADING)
         log.info("leading with token %s", stamp)
         self._won(stamp)
@@ -291,10 +324,6 @@
     def hear(self, token: int) -> None:
         self._election.hear(token, None)
 
-    def rest(self) -> None:
-        if self._election.token == self.token:
-            self._election.rest()
-
     def step_down(self, why: str) -> None:
         if self._election.token == self.token:
             self._election.step_down(why)
--- a/src/elmthread/ledger/client.py
+++ b/src/elmthread/ledger/client.py
@@ -3,7 +3,7 @@
 import logging
 from dataclasses import dataclass
 from datetime import timedelta
-from typing import Any, TypeVar
+from typing import Any, Protocol, TypeVar
 from urllib.parse import quote
 
 import msgspec
@@ -51,8 +51,23 @@
     failed: list[str]
 
 
+class RoundTrips(Protocol):
+    """Who wants to know which requests were executed, and when they began."""
+
+    def begin(self) -> timedelta:
+        """A request is sent now."""
+
+    def hear(self) -> None:
+        """An answer came that proves no execution."""
+
+    def confirm(self, began: timedelta) -> None:
+        """A request that began then was executed."""
+
+
 class StateClient:
-    def __init__(self, caller: Caller, requests: TokenBucket) -> None:
+    def __init__(self, caller: Caller, requests: TokenBucket, link: RoundTrips | None = None) -> None:
+        """`link` is told of each request that was answered."""
+        self._link = link
         self._caller = caller
         self._requests = requests
 
@@ -107,10 +122,16 @@
         return await self._raw(method, path, body, timeout)
 
     async def _raw(self, method: str, path: str, body: Any, timeout: timedelta) -> Answer:
+        began = self._link.begin() if self._link is not None else None
         try:
             answer = await self._caller.call(method, path, body, timeout=timeout)
         except NoResponseError as error:
             raise UnknownOutcomeError(str(error)) from error
+        if self._link is not None and began is not None:
+            if answer.status in (429, 503):
+                self._link.hear()
+            else:
+                self._link.confirm(began)
         if answer.status == 429:
             self._requests.drain()
             raise RateLimitedError(f"{method} {path.split('?')[0]}: 429: {answer.body}")
--- a/src/elmthread/peers/link.py
+++ b/src/elmthread/peers/link.py
@@ -86,6 +86,11 @@
             got(message)
 
 
+def _announcement(say: Say) -> bytes:
+    frame: bytes = pynetstring.encode(encode(say()))
+    return frame
+
+
 class Link:
     """Our connection to one other node."""
 
@@ -131,9 +136,10 @@
                 self._asked.clear()
             await asyncio.sleep(REDIAL.total_seconds())
 
-    def tell(self) -> None:
+    def tell(self, frame: bytes | None = None) -> None:
+        """Announces this node's state; `frame` is that announcement where others get it too."""
         if self._writer is not None:
-            self._writer.write(pynetstring.encode(encode(self._say())))
+            self._writer.write(frame or _announcement(self._say))
 
     def _got(self, message: Message) -> None:
         if isinstance(message, ForwardedResponse):
@@ -194,9 +200,9 @@
 
     def tell(self) -> None:
         """Says at once who leads: a change of leader must not wait for the next round."""
+        frame = _announcement(self._say)
         for link in self._links.values():
-            link.tell()
-        frame = pynetstring.encode(encode(self._say()))
+            link.tell(frame)
         for writer in self._in:
             writer.write(frame)
 
--- a/src/elmthread/peers/messages.py
+++ b/src/elmthread/peers/messages.py
@@ -19,6 +19,9 @@
     machines: int = 0
     # The active compatibility level, once it is above the first; earlier versions never meet it.
     level: int | msgspec.UnsetType = msgspec.UNSET
+    # The sender's view of its links (`reachability/messages.py`), once all controllers read it. It is read by
+    # itself, so that a malformed one costs nothing but itself.
+    links: msgspec.Raw | msgspec.UnsetType = msgspec.UNSET
 
 
 class ForwardedRequest(msgspec.Struct, tag_field="kind", tag="ask"):
--- a/src/elmthread/placement/cluster.py
+++ b/src/elmthread/placement/cluster.py
@@ -209,6 +209,7 @@
 
     __slots__ = (
         "answered_at",
+        "answers_arrive",
         "build",
         "cards",
         "cards_used",
@@ -270,6 +271,8 @@
         self.silent_sessions = 0
         self.reported_at: timedelta | None = None
         self.answered_at: timedelta | None = None
+        # Its last report came on a connection on which our answer to the one before had arrived.
+        self.answers_arrive = False
         self.known_since = now
         self.empty_since = now
         self.recall_at: timedelta | None = None
--- /dev/null
+++ b/src/elmthread/reachability/census.py
@@ -0,0 +1,70 @@
+"""How many machines of each zone the leader hears: one pass over all machines for everybody who asks."""
+
+from collections.abc import Iterable, Mapping
+from datetime import timedelta
+
+import msgspec
+
+from elmthread.common.clock import ZERO, Clock, seconds
+from elmthread.placement.cluster import Machine, MachineState
+
+# Counts this old are good enough for all who judge by them.
+LIFETIME = seconds(0.4)
+
+
+class ZoneCount(msgspec.Struct):
+    """Machines of one zone."""
+
+    # That ought to report.
+    expected: int = 0
+    # Of these, silent for so long that they get nothing new.
+    silent: int = 0
+    # Of these, that have reported in time on a connection on which our answer had arrived.
+    confirmed: int = 0
+
+
+class Census:
+    """Counts by zone."""
+
+    def __init__(
+        self, machines: Mapping[str, Machine], clock: Clock, report_overdue: timedelta, began: timedelta
+    ) -> None:
+        """`began` is when this term did: until then no machine could report to it."""
+        self._machines = machines
+        self._clock = clock
+        self._report_overdue = report_overdue
+        self._began = began
+        self._taken_at: timedelta | None = None
+        self._zones: dict[str, ZoneCount] = {}
+
+    def zones(self) -> Mapping[str, ZoneCount]:
+        """Each zone's count, not older than `LIFETIME`."""
+        now = self._clock()
+        if self._taken_at is None or now - self._taken_at > LIFETIME:
+            self._zones = self._count(self._machines.values(), now)
+            self._taken_at = now
+        return self._zones
+
+    def total(self) -> ZoneCount:
+        """All zones together."""
+        total = ZoneCount()
+        for count in self.zones().values():
+            total.expected += count.expected
+            total.silent += count.silent
+            total.confirmed += count.confirmed
+        return total
+
+    def _count(self, machines: Iterable[Machine], now: timedelta) -> dict[str, ZoneCount]:
+        zones: dict[str, ZoneCount] = {}
+        in_time = now - self._report_overdue
+        for machine in machines:
+            if not machine.expected:
+                continue
+            count = zones.get(machine.zone)
+            if count is None:
+                count = zones[machine.zone] = ZoneCount()
+            count.expected += 1
+            count.silent += machine.unheard(now, self._began)
+            if machine.state is MachineState.UP and machine.answers_arrive:
+                count.confirmed += (machine.reported_at or ZERO) >= in_time
+        return zones
--- /dev/null
+++ b/src/elmthread/reachability/decide.py
@@ -0,0 +1,116 @@
+"""What a leader does with what it can confirm; a pure function over views."""
+
+import math
+from collections.abc import Sequence
+from enum import Enum
+
+import msgspec
+
+from elmthread.reachability.links import LinkState
+
+# Silence of fewer machines than this says nothing about the node itself.
+FEWEST_MACHINES = 4
+# Another node is clearly better off if it hears more machines than the leader by this part of all.
+MARGIN = 0.05
+
+
+class StepDownReason(Enum):
+    """Why leadership is given up for nobody in particular."""
+
+    WORKERS_ELSEWHERE = "most machines don't reach this node, and reach another"
+    ALONE = "neither most machines nor another controller are reached"
+
+
+class OwnView(msgspec.Struct, frozen=True):
+    """What the leader itself confirms."""
+
+    # The lease is surely held.
+    sure: bool
+    # Leadership was given up so lately that it is not given up again.
+    resting: bool
+    # Machines that ought to report; of these silent, and of these heard and seen to be answered.
+    expected: int
+    silent: int
+    confirmed: int
+
+
+class PeerView(msgspec.Struct, frozen=True):
+    """What is known of another controller."""
+
+    node: str
+    # Our link to it.
+    link: LinkState
+    # Machines that miss this term's leader and came to that node, without copies of old reports.
+    heard: int
+    # Its link to the state service; None where it says nothing of it that counts.
+    store: LinkState | None = None
+    # It has given up leadership of late.
+    resting: bool = False
+
+
+class Lead(msgspec.Struct, frozen=True):
+    """Go on."""
+
+
+class Hold(msgspec.Struct, frozen=True):
+    """The lease can't be confirmed: act on nothing, answer workers only."""
+
+
+class StepDown(msgspec.Struct, frozen=True):
+    """End the lease; anybody may win."""
+
+    reason: StepDownReason
+
+
+class GiveWay(msgspec.Struct, frozen=True):
+    """End the lease, and name the node that is better off."""
+
+    successor: str
+
+
+Decision = Lead | Hold | StepDown | GiveWay
+
+
+def decide(own: OwnView, peers: Sequence[PeerView]) -> Decision:
+    """No view grants a right: whatever it says, the lease is only given up, and another is won by the store."""
+    if not own.sure:
+        return Hold()
+    if own.resting:
+        return Lead()
+    successor = _successor(own, peers)
+    if successor is not None:
+        return GiveWay(successor)
+    # Who is known not to have the state service can't win: what it hears is no reason.
+    heard = max((peer.heard for peer in peers if peer.store in (None, LinkState.CONFIRMED)), default=0)
+    if heard and majority_elsewhere(own.expected, own.silent, heard):
+        return StepDown(StepDownReason.WORKERS_ELSEWHERE)
+    reached = any(peer.link is LinkState.CONFIRMED for peer in peers)
+    if peers and not reached and own.expected >= FEWEST_MACHINES and own.silent * 2 > own.expected:
+        return StepDown(StepDownReason.ALONE)
+    return Lead()
+
+
+def majority_elsewhere(expected: int, silent: int, heard: int) -> bool:
+    """Most machines are silent, and most of those reach another node.
+
+    Or most come to another node, silent or not: they report here too, but no answer reaches them.
+    """
+    return heard * 2 > (silent if silent * 2 > expected else expected)
+
+
+def _successor(own: OwnView, peers: Sequence[PeerView]) -> str | None:
+    """The node that hears most machines, confirms the state service, and is clearly better off than the leader."""
+    if own.expected < FEWEST_MACHINES:
+        return None
+    bar = own.confirmed + max(1, math.ceil(own.expected * MARGIN))
+    fit = [
+        peer
+        for peer in peers
+        if peer.link is LinkState.CONFIRMED
+        and peer.store is LinkState.CONFIRMED
+        and not peer.resting
+        and peer.heard > bar
+    ]
+    if not fit:
+        return None
+    return min(fit, key=lambda peer: (-peer.heard, peer.node)).node
--- /dev/null
+++ b/src/elmthread/reachability/exchange.py
@@ -0,0 +1,104 @@
+"""The views of the other nodes, and the echoes that confirm the links to them.
+
+Each node numbers its messages and remembers when it sent them. A message that echoes one of ours was made
+after ours was sent, so it confirms the link in both directions, and it bounds the age of all that the
+message says by this node's own clock, however long it was held up on its way.
+"""
+
+import logging
+from collections import deque
+from collections.abc import Iterable, Mapping
+from datetime import timedelta
+
+import msgspec
+
+from elmthread.common.clock import Clock
+from elmthread.reachability.bounds import ReachabilityBounds
+from elmthread.reachability.links import Link
+from elmthread.reachability.messages import InvalidViewError, LinkViewMessage, read_view
+
+log = logging.getLogger(__name__)
+
+# Messages of ours whose sending is remembered; an echo of an older one is too old to confirm anything.
+MOST_SENT = 64
+
+
+class HeardView(msgspec.Struct, frozen=True):
+    """A view that counts, and the latest moment by our clock at which it may have been made before."""
+
+    view: LinkViewMessage
+    made_after: timedelta
+
+
+class ViewExchange:
+    """Numbers what is said, and keeps the newest view of each other node."""
+
+    def __init__(
+        self, node: str, others: Iterable[str], bounds: ReachabilityBounds, clock: Clock, first_number: int
+    ) -> None:
+        """`first_number` is drawn at random, so that messages of an earlier process are told apart."""
+        self._node = node
+        self._bounds = bounds
+        self._clock = clock
+        self.links: Mapping[str, Link] = {
+            other: Link(other, clock, bounds.peer_confirmed, bounds.cut_after) for other in others
+        }
+        self._number = first_number
+        self._sent: deque[tuple[int, timedelta]] = deque(maxlen=MOST_SENT)
+        self._views: dict[str, HeardView] = {}
+        self._newest: dict[str, int] = {}
+        self.dropped = 0
+
+    def next_number(self) -> int:
+        """The number of a message that is sent now."""
+        self._number += 1
+        self._sent.append((self._number, self._clock()))
+        return self._number
+
+    def echoes(self) -> dict[str, int]:
+        """The newest message of each node that was heard."""
+        return dict(self._newest)
+
+    def hear(self, sender: str, raw: msgspec.Raw) -> LinkViewMessage | None:
+        """Takes in a view; None where it is dropped, or too old for anything that it says to count."""
+        link = self.links.get(sender)
+        if link is None:
+            self._drop(sender, "unknown node")
+            return None
+        link.hear()
+        try:
+            view = read_view(raw, sender, self._node, self._number)
+        except InvalidViewError as error:
+            self._drop(sender, str(error))
+            return None
+        sent_at = self._sent_at(view.echoes.get(self._node))
+        if sent_at is None:
+            # It has not heard us yet, or not of late: it is echoed, so that it can confirm its link.
+            self._newest[sender] = view.number
+            return None
+        known = self._views.get(sender)
+        if self._clock() - sent_at > self._bounds.view_age:
+            self._drop(sender, "too old")
+            return None
+        if known is not None and sent_at < known.made_after:
+            # Two connections lead to each node, and a newer view has come over the other one.
+            return None
+        self._newest[sender] = view.number
+        link.confirm(sent_at)
+        self._views[sender] = HeardView(view, sent_at)
+        return view
+
+    def view_of(self, node: str) -> LinkViewMessage | None:
+        """The newest view of a node, while it counts."""
+        heard = self._views.get(node)
+        if heard is None or self._clock() - heard.made_after > self._bounds.view_age:
+            return None
+        return heard.view
+
+    def _sent_at(self, number: int | None) -> timedelta | None:
+        return next((at for sent, at in self._sent if sent == number), None)
+
+    def _drop(self, sender: str, why: str) -> None:
+        self.dropped += 1
+        if self.dropped & (self.dropped - 1) == 0:
+            log.warning("view of %s dropped (%s so far): %s", sender, self.dropped, why)
--- /dev/null
+++ b/src/elmthread/reachability/service.py
@@ -0,0 +1,261 @@
+"""A controller's reachability: its links, what the others say of theirs, and the rest after a term.
+
+`Reachability` lives as long as the process. `TermReachability` is the leader's part, for one term: it counts
+the machines, decides, and gives leadership up. Neither grants anything: the lease alone says who leads.
+"""
+
+import asyncio
+import logging
+import random
+import secrets
+from collections.abc import Callable
+from datetime import timedelta
+from typing import Protocol
+
+import msgspec
+
+from elmthread.common.clock import ZERO, Clock, seconds
+from elmthread.common.http import Request, Response
+from elmthread.peers.messages import LeaderAnnouncement
+from elmthread.reachability.backoff import LeadershipBackoff
+from elmthread.reachability.bounds import ReachabilityBounds
+from elmthread.reachability.census import Census, ZoneCount
+from elmthread.reachability.decide import (
+    FEWEST_MACHINES,
+    Decision,
+    GiveWay,
+    OwnView,
+    PeerView,
+    StepDown,
+    StepDownReason,
+    decide,
+)
+from elmthread.reachability.exchange import ViewExchange
+from elmthread.reachability.links import Link, LinkState
+from elmthread.reachability.messages import (
+    FIRST_NUMBERS,
+    LinkStatus,
+    LinkViewMessage,
+    encode_view,
+    status_of,
+)
+from elmthread.reachability.strays import MisdirectedReports, Stray
+from elmthread.rollout.features import ActiveFeatures, Feature
+
+log = logging.getLogger(__name__)
+
+DECIDE_EVERY = seconds(0.5)
+
+
+class Successor(msgspec.Struct, frozen=True):
+    """Who is to lead after a term, and until when the others leave it to that node."""
+
+    node: str
+    token: int
+    until: timedelta
+
+
+class PeerLinks(Protocol):
+    """What the connections to the other controllers tell."""
+
+    def reaches(self, node: str) -> bool:
+        """Whether a connection to the node stands."""
+
+    def tell(self) -> None:
+        """Announces this node's state to all others at once."""
+
+
+class Reachability:
+    """What one process can confirm of the system, whoever leads."""
+
+    def __init__(
+        self,
+        node: str,
+        others: list[str],
+        bounds: ReachabilityBounds,
+        clock: Clock,
+        features: ActiveFeatures,
+        stray_window: timedelta,
+    ) -> None:
+        """`others` are the other controllers; machines that came here longer than `stray_window` ago don't count."""
+        self.node = node
+        self.others = others
+        self.bounds = bounds
+        self._clock = clock
+        self._features = features
+        self.store = Link("the state service", clock, bounds.store_confirmed, bounds.cut_after)
+        self.strays = MisdirectedReports(clock, stray_window)
+        self.backoff = LeadershipBackoff(bounds, clock, random.Random(node), alone=not others)
+        self.exchange = ViewExchange(node, others, bounds, clock, secrets.randbelow(FIRST_NUMBERS))
+        self.term: TermReachability | None = None
+        # Named by this node when it gave way, and by another node that did.
+        self._named: Successor | None = None
+        self._named_by_other: Successor | None = None
+
+    @property
+    def views_active(self) -> bool:
+        """Whether all controllers tell one another their views."""
+        return self._features.is_active(Feature.LINK_VIEWS)
+
+    def turn_away(self, request: Request, leader: str | None, token: int) -> Response:
+        """The answer to a report that came here, though this node does not lead."""
+        return self.strays.turn_away(request, leader, token)
+
+    # What is said and heard
+
+    def add_to(self, announcement: LeaderAnnouncement) -> None:
+        """Puts this node's view into what it announces, once all others read it."""
+        if self.views_active:
+            announcement.links = msgspec.Raw(encode_view(self.view()))
+
+    def view(self) -> LinkViewMessage:
+        """This node's view now, as a message of its own number."""
+        view = LinkViewMessage(
+            number=self.exchange.next_number(),
+            echoes=self.exchange.echoes(),
+            store=status_of(self.store),
+            peers={node: status_of(link) for node, link in self.exchange.links.items()},
+            workers=self.term.zones_told() if self.term is not None else {},
+            resting=self.backoff.resting,
+        )
+        if self._named is not None and self._clock() < self._named.until:
+            view.successor, view.successor_token = self._named.node, self._named.token
+        return view
+
+    def hear(self, announcement: LeaderAnnouncement) -> None:
+        """What another node says of the machines that came to it, and of its links."""
+        self.strays.hear(
+            announcement.node, announcement.strays, announcement.some, announcement.token, announcement.machines
+        )
+        if announcement.links is msgspec.UNSET or not self.views_active:
+            return
+        view = self.exchange.hear(announcement.node, announcement.links)
+        if view is not None and view.successor is not None:
+            self._hear_successor(view.successor, view.successor_token)
+
+    def _hear_successor(self, node: str, token: int) -> None:
+        if self._named_by_other is not None and token <= self._named_by_other.token:
+            # Said again: the wait has begun already.
+            return
+        self._named_by_other = Successor(node, token, self._clock() + self.bounds.successor_wait)
+
+    # Standing for leader
+
+    def wait_before_standing(self, vacant_for: timedelta, token: int) -> timedelta:
+        """How long to leave a vacant leadership to others; `token` is that of the last term that is known."""
+        rest = self.backoff.wait_before_standing(vacant_for)
+        named = self._named_by_other
+        if named is None or named.token != token or named.node == self.node:
+            return rest
+        return max(rest, named.until - self._clock(), ZERO)
+
+    def term_ended(self) -> None:
+        """A term of this node has ended before its process did."""
+        self.backoff.rest()
+
+    def watch_time(self, usual: timedelta) -> timedelta:
+        """How long a follower may wait for news of the leader before it asks the state service anew."""
+        return min(usual, self.bounds.follower_watch) if self.views_active else usual
+
+    def name_successor(self, node: str, token: int) -> None:
+        """This node is about to end the term of that token and leaves leading to the named node."""
+        self._named = Successor(node, token, self._clock() + self.bounds.successor_wait)
+
+
+class TermReachability:
+    """The leader's view of its workers, and whether it goes on leading; for one term."""
+
+    def __init__(
+        self,
+        reachability: Reachability,
+        census: Census,
+        token: int,
+        sure: Callable[[], bool],
+        is_news: Callable[[Stray], bool],
+        peers: PeerLinks,
+        clock: Clock,
+        step_down: Callable[[str], None],
+    ) -> None:
+        """`sure` says whether the lease surely holds, `is_news` whether a machine's report is none of old."""
+        self._reachability = reachability
+        self._census = census
+        self._token = token
+        self._sure = sure
+        self._is_news = is_news
+        self._peers = peers
+        self._clock = clock
+        self._step_down = step_down
+        self._zones: dict[str, Link] = {}
+
+    async def run(self) -> None:
+        """Looks at the links until the term ends."""
+        while True:
+            await asyncio.sleep(DECIDE_EVERY.total_seconds())
+            self._confirm_zones()
+            self._act(self.decide())
+
+    def decide(self) -> Decision:
+        """What to do with what is known now."""
+        own = self._own_view()
+        return decide(own, [self._peer_view(node) for node in self._reachability.others])
+
+    def in_doubt(self, zone: str) -> bool:
+        """Whether the silence of machines of a zone may be a fault of this node's own link to them."""
+        count = self._census.zones().get(zone)
+        if count is None or count.expected < FEWEST_MACHINES or count.silent * 2 <= count.expected:
+            return False
+        link = self._zones.get(zone)
+        return link is None or link.state is not LinkState.CONFIRMED
+
+    def zones_told(self) -> dict[str, LinkStatus]:
+        """The links to the workers, by zone, for others."""
+        return {zone: status_of(link) for zone, link in sorted(self._zones.items())}
+
+    def _own_view(self) -> OwnView:
+        total = self._census.total()
+        return OwnView(
+            sure=self._sure(),
+            resting=self._reachability.backoff.resting,
+            expected=total.expected,
+            silent=total.silent,
+            confirmed=total.confirmed,
+        )
+
+    def _peer_view(self, node: str) -> PeerView:
+        reachability = self._reachability
+        heard = reachability.strays.heard_by(node, self._token, self._is_news)
+        if not reachability.views_active:
+            return PeerView(node, LinkState.CONFIRMED if self._peers.reaches(node) else LinkState.CUT, heard)
+        link = reachability.exchange.links[node].state
+        view = reachability.exchange.view_of(node)
+        if view is None:
+            return PeerView(node, link, heard)
+        return PeerView(node, link, heard, view.store.state, view.resting)
+
+    def _confirm_zones(self) -> None:
+        bounds = self._reachability.bounds
+        # The oldest report by which a machine counts as heard came then, and our answer went out before it.
+        began = self._clock() - bounds.report_overdue
+        for zone, count in self._census.zones().items():
+            link = self._zones.get(zone)
+            if link is None:
+                name = f"the workers of {zone}"
+                link = self._zones[zone] = Link(name, self._clock, bounds.workers_confirmed, bounds.cut_after)
+            if _mostly_heard(count):
+                link.confirm(began)
+
+    def _act(self, decision: Decision) -> None:
+        if isinstance(decision, GiveWay):
+            log.info("giving way to %s, which hears more machines", decision.successor)
+            self._reachability.name_successor(decision.successor, self._token)
+            self._peers.tell()
+            self._step_down("the workers are out of reach")
+        elif isinstance(decision, StepDown):
+            log.info("%s", decision.reason.value)
+            if decision.reason is StepDownReason.ALONE:
+                self._reachability.backoff.rest(at_length=True)
+            self._step_down("the workers are out of reach")
+
+
+def _mostly_heard(count: ZoneCount) -> bool:
+    return count.confirmed * 2 >= count.expected > 0
--- a/src/elmthread/agents/reach.py
+++ b/src/elmthread/reachability/strays.py
@@ -1,10 +1,9 @@
-"""Whether the workers reach the node that leads.
+"""Reports that come to a node that does not lead, though their senders know who does.
 
 A leader that keeps the state service but loses the workers would lead on while their leases run
 out, though they reach other nodes, which can only send them back. So each node tells the others
-how many machines have come to it in vain, and a leader that most machines don't reach, while
-another node is reached, gives way to it. It says which a few of them were: a late copy of a
-report is older than what the leader has, and shows nothing.
+how many machines have come to it in vain, and names a few of them: a late copy of a report is
+older than what the leader has, and shows nothing. What the leader makes of it: `decide.py`.
 """
 
 from collections.abc import Callable
@@ -24,10 +23,13 @@
 Stray = tuple[str, int, int]
 
 
-class Reach:
+class MisdirectedReports:
+    """The machines that came here, and what the other nodes say of those that came to them."""
+
     def __init__(self, clock: Clock, window: timedelta) -> None:
+        """`window`: what came longer ago counts no more."""
         self._clock = clock
-        # What came longer ago says nothing; a worker makes the round of all nodes in less.
+        # A worker makes the round of all nodes in less.
         self._window = window
         # By machine: when it came, its session and sequence; all missed this leadership.
         self._came: dict[str, tuple[timedelta, int, int]] = {}
@@ -76,22 +78,12 @@
             self._machines = machines
         self._told[node] = (strays, some, token, self._clock())
 
-    def elsewhere(self, token: int, news: Callable[[Stray], bool]) -> int:
-        """About how many machines miss that leader and reach another node; `news` tells old copies."""
-        since = self._clock() - self._window
-        return max(
-            (
-                round(count * sum(map(news, some)) / len(some))
-                for count, some, missed, at in self._told.values()
-                if missed == token and at > since and some
-            ),
-            default=0,
-        )
-
-
-def should_give_way(machines: int, silent: int, elsewhere: int) -> bool:
-    """Most machines are silent, and most of those reach another node.
-
-    Or most come to another node, silent or not: they report here too, but no answer reaches them.
-    """
-    return elsewhere * 2 > (silent if silent * 2 > machines else machines)
+    def heard_by(self, node: str, token: int, is_news: Callable[[Stray], bool]) -> int:
+        """About how many machines miss that leader and reach the node; `is_news` tells old copies."""
+        told = self._told.get(node)
+        if told is None:
+            return 0
+        count, some, missed, at = told
+        if missed != token or at <= self._clock() - self._window or not some:
+            return 0
+        return round(count * sum(map(is_news, some)) / len(some))
--- a/src/elmthread/agents/tests/test_reach.py
+++ b/src/elmthread/reachability/tests/test_strays.py
@@ -4,26 +4,27 @@
 
 import cbor2
 
-from elmthread.agents.reach import Reach, should_give_way
 from elmthread.common.clock import seconds
 from elmthread.common.http import Request
+from elmthread.reachability.decide import majority_elsewhere
+from elmthread.reachability.strays import MisdirectedReports
 
 
 def test_only_most_machines_silent_here_and_heard_elsewhere_are_a_reason() -> None:
-    assert should_give_way(600, 400, 250)
+    assert majority_elsewhere(600, 400, 250)
     # Dead or cut off from all: another leader would hear no more of them.
-    assert not should_give_way(600, 600, 0)
+    assert not majority_elsewhere(600, 600, 0)
     # A zone with its controller is cut off: the rest is heard here.
-    assert not should_give_way(600, 150, 150)
-    assert not should_give_way(0, 0, 0)
+    assert not majority_elsewhere(600, 150, 150)
+    assert not majority_elsewhere(0, 0, 0)
     # Reports arrive here, answers don't arrive there.
-    assert should_give_way(600, 50, 350) and not should_give_way(600, 50, 250)
+    assert majority_elsewhere(600, 50, 350) and not majority_elsewhere(600, 50, 250)
 
 
 def test_machines_that_miss_the_leader_are_counted_once_and_for_a_while() -> None:
     now = [seconds(0)]
     count = itertools.count(1)
-    reach = Reach(lambda: now[0], seconds(7))
+    reach = MisdirectedReports(lambda: now[0], seconds(7))
     reach.hear("a", 0, [], 9, 10)
 
     def comes(machine: str, token: int, leader: str | None = "a") -> object:
@@ -47,7 +48,7 @@
 
 def test_one_alone_is_sent_back_however_small_the_fleet() -> None:
     """Sent round all nodes for one lost answer, it would reach its leader after its lease."""
-    reach = Reach(lambda: seconds(0), seconds(7))
+    reach = MisdirectedReports(lambda: seconds(0), seconds(7))
     reach.hear("a", 0, [], 9, 6)
 
     def comes(machine: str) -> object:
@@ -59,13 +60,15 @@
 
 def test_what_another_node_says_counts_as_far_as_it_is_news() -> None:
     now = [seconds(0)]
-    reach = Reach(lambda: now[0], seconds(7))
+    reach = MisdirectedReports(lambda: now[0], seconds(7))
     some = [(f"m-{number}", 1, number) for number in range(4)]
     reach.hear("b", 40, some, 9, 0)
     reach.hear("c", 10, some, 9, 0)
     reach.hear("d", 70, [], 9, 0)
-    assert reach.elsewhere(9, lambda stray: True) == 40 and reach.elsewhere(10, lambda stray: True) == 0
+    heard = {node: reach.heard_by(node, 9, lambda stray: True) for node in "abcd"}
+    assert heard == {"a": 0, "b": 40, "c": 10, "d": 0} and reach.heard_by("b", 10, lambda stray: True) == 0
     # Late copies of what the leader has had are no sign that machines reach another node.
-    assert reach.elsewhere(9, lambda stray: stray[2] > 2) == 10 and reach.elsewhere(9, lambda stray: False) == 0
+    assert reach.heard_by("b", 9, lambda stray: stray[2] > 2) == 10
+    assert reach.heard_by("b", 9, lambda stray: False) == 0
     now[0] = seconds(8)
-    assert reach.elsewhere(9, lambda stray: True) == 0
+    assert reach.heard_by("b", 9, lambda stray: True) == 0
--- a/src/elmthread/rollout/features.py
+++ b/src/elmthread/rollout/features.py
@@ -25,6 +25,7 @@
     DONE_BITMAPS = auto()
     ASSIGNMENT_RUNS = auto()
     LEVEL_IN_ANNOUNCEMENTS = auto()
+    LINK_VIEWS = auto()
 
 
 class Changes(Enum):
@@ -62,6 +63,12 @@
         what="a leader tells the other controllers the active level",
         earlier_versions="pass over the field",
     ),
+    Feature.LINK_VIEWS: FeatureDescription(
+        level=3,
+        changes=Changes.MESSAGE,
+        what="controllers tell one another which of their links they can confirm, and a leader names a successor",
+        earlier_versions="pass over the field, echo nothing, and stand at once though another is named",
+    ),
 }
 
 
--- a/tests/test_real_rollout.py
+++ b/tests/test_real_rollout.py
@@ -6,6 +6,7 @@
 import sys
 from pathlib import Path
 
+from elmthread.rollout.features import SUPPORTED
 from tools.loopback import RealLoop
 from tools.upgrade_cluster import NODES, Options, Upgrade
 
@@ -18,7 +19,7 @@
     upgrade = Upgrade(loop, tmp_path, Options(earlier=None, gate=True, soak_s=2.0))
     loop.run_until_complete(upgrade.run())
     assert upgrade.stand_ins.rules.broken == []
-    assert upgrade.level() == 2
+    assert upgrade.level() == SUPPORTED.highest
     told = [what for _, what in upgrade.happened]
     assert f"{NODES[0]}, rolled back, answers /ready with 503" in told
     assert f"{NODES[0]}, new again, answers /ready with 200" in told
--- a/tests/test_schemas.py
+++ b/tests/test_schemas.py
@@ -18,6 +18,7 @@
 from elmthread.ledger.assignments import read_machine
 from elmthread.ledger.done_marks import MOST_MARKS, done_tasks, read_done
 from elmthread.peers import messages as peers
+from elmthread.reachability.messages import read_view
 from elmthread.rollout.features import FIRST_LEVEL, SUPPORTED
 from elmthread.rollout.messages import AnnouncementRecord, LevelRecord, read_fence
 from tests.test_world import day
@@ -31,6 +32,7 @@
 PUBLISHED = {
     "level-1.json": "1efb99e53feacbeb",
     "level-2.json": "81600fbfc40694d5",
+    "level-3.json": "9c86c2ad510276ff",
     "rollout.json": "951481e11b3b2a17",
 }
 KEYS = {"j/": "job", "d/": "done", "m/": "machine", "r/": "rental", "y/": "types", "t/types": "types"}
@@ -82,6 +84,8 @@
         read_machine(value, SUPPORTED)
     elif form == "fence":
         read_fence(value)
+    elif form == "link view":
+        read_view(msgspec.Raw(msgspec.json.encode(value)), "loom-0", "loom-1", value["echoes"].get("loom-1", 0))
     else:
         msgspec.convert(value, FORMS[form])
 
@@ -106,12 +110,16 @@
         check(1, form, value)
         read(form, value)
         seen.add((1, form))
-    for one in sample(2):
-        check(2, one["form"], one["value"])
-        read(one["form"], one["value"])
-        seen.add((2, one["form"]))
-    assert {form for level, form in seen if level == 2} == set(FORMS) - {"rental"}
-    assert {form for level, form in seen if level == 1} >= set(FORMS) - {"fence", "rental", "layout"}
+    for level in (2, 3):
+        for one in sample(level):
+            check(level, one["form"], one["value"])
+            read(one["form"], one["value"])
+            seen.add((level, one["form"]))
+    # What the next level changes: the announcement, and the view in it.
+    assert {form for level, form in seen if level == 3} == {"message lead", "link view"}
+    forms_before = set(FORMS) - {"rental", "link view"}
+    assert {form for level, form in seen if level == 2} == forms_before
+    assert {form for level, form in seen if level == 1} >= forms_before - {"fence", "layout"}
 
 
 @pytest.mark.parametrize(
@@ -122,6 +130,9 @@
         (2, "done", {"bits": 5}),
         (1, "job", {"state": "open", "tasks": 3, "colour": "red"}),
         (1, "message lead", {"kind": "lead", "leader": None, "token": 3, "level": 2}),
+        (2, "message lead", {"kind": "lead", "leader": None, "token": 3, "links": {"number": 4}}),
+        (3, "link view", {"number": 4, "echoes": {}, "store": {"state": "broken"}, "peers": {}}),
+        (3, "link view", {"number": -4, "echoes": {}, "store": {"state": "cut"}, "peers": {}}),
         (2, "machine", {"build": "small", "zone": "east"}),
         (1, "machine", {"type": "small", "zone": "east", "spot": False, "base": 7, "runs": {"run-000001": [0, 0, 4]}}),
     ],
@@ -146,6 +157,9 @@
                     frame = json.loads(peers.encode(one._say()))
                     # The leader may know of a level that it has raised a moment ago.
                     check(level, "message lead", frame)
+                    if "links" in frame:
+                        check(level, "link view", frame["links"])
+                        sent.add((level, "link view"))
                 await asyncio.sleep(0.25)
 
         for number in range(3):
@@ -154,7 +168,7 @@
         for node in world.nodes:
             replace(world, node, SUPPORTED, 0.5)
             await look(4)
-        await until_level(world, 2)
+        await until_level(world, SUPPORTED.highest)
         assert await world.submit(job(10, pieces=300, cpus=0.1, ram_gb=0.1, true_s=9.0, expected_s=9.0))
         assert await world.submit(daemon(11))
         await look(20)
@@ -165,4 +179,6 @@
                 msgspec.convert(value, LevelRecord if name == "level" else AnnouncementRecord)
 
     day(script, before=begin_before, machines=6)
-    assert {(1, "done"), (2, "done"), (2, "fence"), (1, "job"), (2, "machine")} <= sent
+    newest_level = SUPPORTED.highest
+    assert {(1, "done"), (1, "job")} <= sent
+    assert {(newest_level, form) for form in ("done", "fence", "machine", "link view")} <= sent
--- a/tests/test_staged_rollout.py
+++ b/tests/test_staged_rollout.py
@@ -66,7 +66,7 @@
 async def upgrade_all(world: World) -> None:
     for node in NODES:
         replace(world, node, SUPPORTED, 0.2)
-    await until_level(world, 2)
+    await until_level(world, SUPPORTED.highest)
 
 
 async def until_done(world: World, ids: list[str]) -> None:
@@ -83,7 +83,7 @@
             if node != NODES[-1]:
                 # Whoever leads, and whatever it writes: the version before could read it.
                 earlier.read(world.store.values())
-        await until_level(world, 2)
+        await until_level(world, SUPPORTED.highest)
         assert len(monitor.activations) == 1
         for one in world.controllers.values():
             assert one.rollout.features.is_active(Feature.DONE_BITMAPS)
@@ -142,7 +142,7 @@
         follower = next(node for node in NODES if world.leader and node != world.leader.api._node)
         replace(world, follower, SUPPORTED, 0.1)
         again = world.loop.now
-        await until_level(world, 2)
+        await until_level(world, SUPPORTED.highest)
         assert monitor.activations[0] - again >= 10.0
 
     def before(world: World) -> None:
@@ -184,7 +184,7 @@
                 assert all(one.rollout.gate.admitted for one in world.controllers.values())
             else:
                 await take(world, kind, NODES[int(number[0])])
-        await until_level(world, 2)
+        await until_level(world, SUPPORTED.highest)
         await until_done(world, ids)
 
     staged_day(script)
@@ -238,7 +238,9 @@
     assert world.rules.broken == []
     told = [record.getMessage() for record in caplog.records]
     # Told once, not at every try.
-    assert len(told) == 1 and "level 2 is active" in told[0] and "start a version that reads" in told[0]
+    assert (
+        len(told) == 1 and f"level {SUPPORTED.highest} is active" in told[0] and "start a version that reads" in told[0]
+    )
 
 
 async def announce_late(world: World) -> None:
@@ -299,7 +301,7 @@
         await asyncio.sleep(2 * SOAK_S)
         for node in NODES:
             world.ports[node][0].trouble.lost = 0.0
-        await until_level(world, 2)
+        await until_level(world, SUPPORTED.highest)
         await until_done(world, ids)
 
     staged_day(script, seed=seed)
@@ -326,7 +328,7 @@
         earlier.read(world.store.values())
         ids = await submit_some(world)
         start(world, ended[0])
-        await until_level(world, 2)
+        await until_level(world, SUPPORTED.highest)
         await until_done(world, ids)
 
     staged_day(script)
@@ -386,7 +388,7 @@
         assert stored_level(world) == 1
         # The node itself sets it right, and comes back new.
         replace(world, NODES[2], SUPPORTED, 0.5)
-        await until_level(world, 2)
+        await until_level(world, SUPPORTED.highest)
 
     staged_day(script)
 
@@ -404,10 +406,10 @@
     await asyncio.sleep(0.5)
     world.rollout = RolloutSettings(enabled=True, soak_s=SOAK_S)
     await asyncio.sleep(4 * SOAK_S)
-    assert world.store.items[f"rollout/nodes/{back}"][0]["highest"] == 2
+    assert world.store.items[f"rollout/nodes/{back}"][0]["highest"] == SUPPORTED.highest
     assert stored_level(world) == 1, "active though a node runs a version that announced nothing"
     replace(world, back, SUPPORTED, 0.2)
-    await until_level(world, 2)
+    await until_level(world, SUPPORTED.highest)
 
 
 def test_a_node_rolled_back_to_a_version_without_levels_is_noticed_while_it_answers() -> None:
@@ -425,7 +427,7 @@
             assert stored_level(world) == 1
             replace(world, node, SUPPORTED, 1.0)
             await asyncio.sleep(6)
-        await until_level(world, 2)
+        await until_level(world, SUPPORTED.highest)
         await until_done(world, ids)
 
     def before(world: World) -> None:
@@ -448,7 +450,7 @@
         for node in NODES:
             replace(world, node, SUPPORTED, 0.5)
         await asyncio.sleep(5)
-        assert all(one.rollout.features.level == 2 for one in world.controllers.values() if one.leader)
+        assert all(one.rollout.features.level == SUPPORTED.highest for one in world.controllers.values() if one.leader)
         await until_done(world, ids)
 
     staged_day(script, lambda world: None)
@@ -484,7 +486,7 @@
         if world.levels[node] != SUPPORTED:
             replace(world, node, SUPPORTED, world.rng.uniform(0.02, 4.0))
     await asyncio.sleep(5)
-    await until_level(world, 2)
+    await until_level(world, SUPPORTED.highest)
     ids += await submit_some(world, 3, 20)
     states = await world.until_over(ids, 400)
     assert all(state in ("done", "cancelled") for state in states.values()), states
@@ -528,7 +530,7 @@
             world.old.discard(node)
             replace(world, node, SUPPORTED, rng.uniform(0.05, 4.0))
         await asyncio.sleep(5)
-        await until_level(world, 2)
+        await until_level(world, SUPPORTED.highest)
         ids += await submit_some(world, 3, 20)
         await asyncio.sleep(14)
         # Rolled back after the activation: the earlier version does not lead on what it would misread.
--- a/tools/schemas.py
+++ b/tools/schemas.py
@@ -20,6 +20,7 @@
 from elmthread.ledger.log import SlotRecord
 from elmthread.ledger.records import JobRecord, RentalRecord
 from elmthread.peers.messages import ForwardedRequest, ForwardedResponse, LeaderAnnouncement
+from elmthread.reachability.messages import LinkViewMessage
 from elmthread.rollout.features import SUPPORTED
 from elmthread.rollout.messages import AnnouncementRecord, FenceRecord, LevelRecord
 
@@ -42,6 +43,7 @@
     "message lead": LeaderAnnouncement,
     "message ask": ForwardedRequest,
     "message reply": ForwardedResponse,
+    "link view": LinkViewMessage,
 }
 ROLLOUT_FORMS: dict[str, Any] = {"announcement": AnnouncementRecord, "level": LevelRecord}
 
