Views: echoes go on after a cut; strays are told and judged at once

Change: whatever is heard is echoed; a follower tells at once when the machines that come to it double; the leader judges when it hears so; the margin is 2% of the machines.

--- a/src/elmthread/agents/service.py
+++ b/src/elmthread/agents/service.py
@@ -43,6 +43,8 @@
 LINGER = seconds(0.4)
 # Answers that started something in vain, one after the other, before a machine is taken for deaf.
 MISSED = 3
+# A worker waits for an answer for so long.
+ANSWER_WAIT = seconds(4)
 STATES = {"fetching": AllocationState.FETCHING, "running": AllocationState.RUNNING, "saving": AllocationState.SAVING}
 
 
@@ -153,7 +155,11 @@
         that answers arrive. So does a report on a connection on which an answer went out since
         the session rose, unless answers have come before and nothing was done for them.
         """
-        machine.answers_arrive = answered_at is not None
+        # A worker that waits in vain for an answer turns to another node, and is not here again so soon.
+        reported_at = machine.reported_at
+        machine.answers_arrive = answered_at is not None or (
+            reported_at is not None and report.sequence == machine.newest[1] + 1 and now - reported_at < ANSWER_WAIT
+        )
         session = machine.newest[0]
         if report.session != session:
             if machine.reported_at is not None:
--- a/src/elmthread/controller.py
+++ b/src/elmthread/controller.py
@@ -94,7 +94,6 @@
         clock: Clock,
         load: Load,
         reachability: Reachability,
-        peers: Peers,
         token: int,
         rollout: RolloutContext,
     ) -> None:
@@ -121,7 +120,6 @@
             token,
             self.term.leads,
             lambda stray: self.agents.is_news(stray),
-            peers,
             clock,
             self.term.step_down,
         )
@@ -319,6 +317,14 @@
         # A follower needs little of the state service's rate; a leader takes its own part.
         self._store_rps = facts.state.kept().rps
         self._requests = TokenBucket(self._store_rps * OTHERS_PART, self._store_rps * OTHERS_PART, clock)
+        links = {other.node: split_address(other.address) for other in platform.others}
+        self.peers = peers(
+            links,
+            self._answer,
+            self.hear,
+            self._say,
+            users_at_once(platform),
+        )
         self._features = ActiveFeatures()
         self.reachability = Reachability(
             platform.node,
@@ -327,6 +333,7 @@
             clock,
             self._features,
             facts.workers.lease * QUIET,
+            self.peers,
         )
         self._state = StateClient(state or Client(platform.endpoints.state), self._requests, self.reachability.store)
         self._cloud = cloud or Client(platform.endpoints.cloud)
@@ -355,14 +362,6 @@
             gate.wait_admitted,
             self.reachability,
         )
-        links = {other.node: split_address(other.address) for other in platform.others}
-        self.peers = peers(
-            links,
-            self._answer,
-            self.hear,
-            self._say,
-            users_at_once(platform),
-        )
         self.load = Load(clock)
         self._features.on_change(self.peers.tell)
         self.api = Api(
@@ -392,7 +391,6 @@
             self._clock,
             self.load,
             self.reachability,
-            self.peers,
             token,
             self.rollout,
         )
--- a/src/elmthread/reachability/bounds.py
+++ b/src/elmthread/reachability/bounds.py
@@ -84,11 +84,12 @@
         """At most so many terms begin in an hour for cuts alone, whatever links are cut and when.
 
         A node that does not rest leads, and rests after it: at most `longest_rest` apart once the rests have
-        grown. A node that rests leads only where leadership has been vacant for `least_rest`.
+        grown. A node that rests leads only where it was named, by a node that did not rest and does from then
+        on, or where leadership has been vacant for `least_rest`.
         """
         growing = math.ceil(math.log2(self.longest_rest / self.least_rest)) + 1
         rested = math.ceil(HOUR / (self.longest_rest * (1 - JITTER))) + growing
-        return nodes * rested + math.ceil(HOUR / self.least_rest)
+        return 2 * nodes * rested + math.ceil(HOUR / self.least_rest)
 
     @property
     def longest_without_leader(self) -> timedelta:
--- a/src/elmthread/reachability/decide.py
+++ b/src/elmthread/reachability/decide.py
@@ -10,8 +10,9 @@
 
 # Silence of fewer machines than this says nothing about the node itself.
 FEWEST_MACHINES = 4
-# Another node is clearly better off if it hears more machines than the leader by this part of all.
-MARGIN = 0.05
+# Another node is clearly better off if it hears more machines than the leader by this part of all, and by this many.
+MARGIN = 0.02
+LEAST_MARGIN = 1
 
 
 class StepDownReason(Enum):
@@ -80,8 +81,8 @@
     successor = _successor(own, peers)
     if successor is not None:
         return GiveWay(successor)
-    # Who is known not to have the state service can't win: what it hears is no reason.
-    heard = max((peer.heard for peer in peers if peer.store in (None, LinkState.CONFIRMED)), default=0)
+    # Of nodes that say nothing of their links, only the machines that came to them tell.
+    heard = max((peer.heard for peer in peers if peer.store is None), default=0)
     if heard and majority_elsewhere(own.expected, own.silent, heard):
         return StepDown(StepDownReason.WORKERS_ELSEWHERE)
     reached = any(peer.link is LinkState.CONFIRMED for peer in peers)
@@ -102,15 +103,13 @@
     """The node that hears most machines, confirms the state service, and is clearly better off than the leader."""
     if own.expected < FEWEST_MACHINES:
         return None
-    bar = own.confirmed + max(1, math.ceil(own.expected * MARGIN))
+    bar = own.confirmed + max(LEAST_MARGIN, math.ceil(own.expected * MARGIN))
     fit = [
         peer
         for peer in peers
-        if peer.link is LinkState.CONFIRMED
-        and peer.store is LinkState.CONFIRMED
-        and not peer.resting
-        and peer.heard > bar
+        if peer.link is LinkState.CONFIRMED and peer.store is LinkState.CONFIRMED and peer.heard > bar
     ]
     if not fit:
         return None
-    return min(fit, key=lambda peer: (-peer.heard, peer.node)).node
+    # One that has just given way itself leads again only where nobody else is better off.
+    return min(fit, key=lambda peer: (peer.resting, -peer.heard, peer.node)).node
--- a/src/elmthread/reachability/exchange.py
+++ b/src/elmthread/reachability/exchange.py
@@ -71,10 +71,11 @@
         except InvalidViewError as error:
             self._drop(sender, str(error))
             return None
+        # Echoed whatever its age: after a cut the first messages of both sides echo what is too old, and
+        # without an echo of these neither side would ever say anything newer.
+        self._newest[sender] = view.number
         sent_at = self._sent_at(view.echoes.get(self._node))
         if sent_at is None:
-            # It has not heard us yet, or not of late: it is echoed, so that it can confirm its link.
-            self._newest[sender] = view.number
             return None
         known = self._views.get(sender)
         if self._clock() - sent_at > self._bounds.view_age:
@@ -83,7 +84,6 @@
         if known is not None and sent_at < known.made_after:
             # Two connections lead to each node, and a newer view has come over the other one.
             return None
-        self._newest[sender] = view.number
         link.confirm(sent_at)
         self._views[sender] = HeardView(view, sent_at)
         return view
--- a/src/elmthread/reachability/service.py
+++ b/src/elmthread/reachability/service.py
@@ -76,8 +76,10 @@
         clock: Clock,
         features: ActiveFeatures,
         stray_window: timedelta,
+        peers: PeerLinks,
     ) -> None:
         """`others` are the other controllers; machines that came here longer than `stray_window` ago don't count."""
+        self.peers = peers
         self.node = node
         self.others = others
         self.bounds = bounds
@@ -99,7 +101,10 @@
 
     def turn_away(self, request: Request, leader: str | None, token: int) -> Response:
         """The answer to a report that came here, though this node does not lead."""
-        return self.strays.turn_away(request, leader, token)
+        response = self.strays.turn_away(request, leader, token)
+        if self.views_active and self.strays.worth_telling():
+            self.peers.tell()
+        return response
 
     # What is said and heard
 
@@ -130,6 +135,8 @@
         if announcement.links is msgspec.UNSET or not self.views_active:
             return
         view = self.exchange.hear(announcement.node, announcement.links)
+        if self.term is not None and announcement.strays:
+            self.term.look()
         if view is not None and view.successor is not None:
             self._hear_successor(view.successor, view.successor_token)
 
@@ -145,8 +152,11 @@
         """How long to leave a vacant leadership to others; `token` is that of the last term that is known."""
         rest = self.backoff.wait_before_standing(vacant_for)
         named = self._named_by_other
-        if named is None or named.token != token or named.node == self.node:
+        if named is None or named.token != token:
             return rest
+        if named.node == self.node:
+            # Whoever gave way knows that this node is better off.
+            return ZERO
         return max(rest, named.until - self._clock(), ZERO)
 
     def term_ended(self) -> None:
@@ -172,7 +182,6 @@
         token: int,
         sure: Callable[[], bool],
         is_news: Callable[[Stray], bool],
-        peers: PeerLinks,
         clock: Clock,
         step_down: Callable[[str], None],
     ) -> None:
@@ -182,7 +191,6 @@
         self._token = token
         self._sure = sure
         self._is_news = is_news
-        self._peers = peers
         self._clock = clock
         self._step_down = step_down
         self._zones: dict[str, Link] = {}
@@ -191,8 +199,12 @@
         """Looks at the links until the term ends."""
         while True:
             await asyncio.sleep(DECIDE_EVERY.total_seconds())
-            self._confirm_zones()
-            self._act(self.decide())
+            self.look()
+
+    def look(self) -> None:
+        """Judges the links now, and acts on it."""
+        self._confirm_zones()
+        self._act(self.decide())
 
     def decide(self) -> Decision:
         """What to do with what is known now."""
@@ -225,7 +237,7 @@
         reachability = self._reachability
         heard = reachability.strays.heard_by(node, self._token, self._is_news)
         if not reachability.views_active:
-            return PeerView(node, LinkState.CONFIRMED if self._peers.reaches(node) else LinkState.CUT, heard)
+            return PeerView(node, LinkState.CONFIRMED if reachability.peers.reaches(node) else LinkState.CUT, heard)
         link = reachability.exchange.links[node].state
         view = reachability.exchange.view_of(node)
         if view is None:
@@ -248,7 +260,7 @@
         if isinstance(decision, GiveWay):
             log.info("giving way to %s, which hears more machines", decision.successor)
             self._reachability.name_successor(decision.successor, self._token)
-            self._peers.tell()
+            self._reachability.peers.tell()
             self._step_down("the workers are out of reach")
         elif isinstance(decision, StepDown):
             log.info("%s", decision.reason.value)
--- a/src/elmthread/reachability/strays.py
+++ b/src/elmthread/reachability/strays.py
@@ -19,6 +19,9 @@
 SOME = 16
 # Strays are many from this part of all machines on.
 MANY = 0.1
+# So many, and such a part of all machines, are told of at once and not with the next announcement.
+FEW = 2
+FEW_PART = 0.01
 
 Stray = tuple[str, int, int]
 
@@ -36,6 +39,8 @@
         self._missed = 0
         # That the leader has.
         self._machines = 0
+        # How many had come when the others were last told.
+        self._told_count = 0
         # By node: how many came to it, some of them, the leadership that they missed, and when it said so.
         self._told: dict[str, tuple[int, list[Stray], int, timedelta]] = {}
 
@@ -69,9 +74,14 @@
             return 0, []
         since = self._clock() - self._window
         self._came = {machine: seen for machine, seen in self._came.items() if seen[0] > since}
+        self._told_count = len(self._came)
         last = list(self._came.items())[-SOME:]
         return len(self._came), [(machine, session, sequence) for machine, (_, session, sequence) in last]
 
+    def worth_telling(self) -> bool:
+        """Twice as many machines have come as the others were told of: more than single lost answers explain."""
+        return len(self._came) >= max(FEW, self._machines * FEW_PART, self._told_count * 2)
+
     def hear(self, node: str, strays: int, some: list[Stray], token: int, machines: int) -> None:
         """Another node says who came to it, in the leadership that it knows of."""
         if machines:
