Tests of cut links: schedules per direction, a recorded history, and its check

Change: each direction of each link can be dropped, delayed, duplicated, reset or refused by a schedule that a schema library checks; the history holds every start, rental, deletion and answer against the node's own renewals. Each check is seen to fail with its guard taken out.

--- /dev/null
+++ b/tests/world/history.py
@@ -0,0 +1,114 @@
+"""A recorded history of what controllers did, and its check.
+
+The checker knows nothing of the code's decisions. By each node's own requests it knows until when the state
+service has surely kept its lease, and holds every start, rental, deletion and answer against it.
+"""
+
+from collections.abc import Callable
+from datetime import timedelta
+from typing import Any
+
+from elmthread.agents.messages import HEARTBEAT_PATH
+from elmthread.common.http import Answer, Request, Response
+from elmthread.controller import LEASE, Controller
+from tests.world.services import Port
+from tests.world.world import World
+
+TTL = LEASE.total_seconds()
+
+
+class RecordingPort(Port):
+    """A node's way to a service, on which leases and requests to the cloud are noted."""
+
+    def __init__(self, port: Port, node: str, history: "History") -> None:
+        super().__init__(port._service, port.trouble)
+        self._node, self._history = node, history
+
+    async def call(
+        self, method: str, path: str, body: Any = None, *, timeout: timedelta, sure: Callable[[], bool] | None = None
+    ) -> Answer:
+        """As before; a request that is only sent on a sure lease is judged at that moment."""
+        sent = self._service.loop.now
+        checked = sure
+
+        def judged() -> bool:
+            good = checked is None or checked()
+            if good:
+                self._history.act(self._node, path)
+            return good
+
+        answer = await super().call(method, path, body, timeout=timeout, sure=judged if checked else None)
+        if path == "/grants":
+            self._history.granted[self._node] = sent
+        elif path.endswith("/extend") and answer.status == 200:
+            self._history.renewed(self._node, sent)
+        return answer
+
+
+class History:
+    """Terms, and everything done without a right to it."""
+
+    def __init__(self, world: World) -> None:
+        self.world = world
+        self.terms: list[tuple[float, str, int]] = []
+        self.granted: dict[str, float] = {}
+        self._sure_until: dict[str, float] = {}
+        self.acts = 0
+        self.broken: list[str] = []
+        world.on_start.append(self._watch)
+        world.on_answer.append(self._answered)
+
+    def renewed(self, node: str, sent: float) -> None:
+        """The lease stands for its whole length from when the request was sent."""
+        self._sure_until[node] = max(self._sure_until.get(node, 0.0), sent + TTL)
+
+    def act(self, node: str, what: str) -> None:
+        """A node does what only a sure lease allows."""
+        self.acts += 1
+        now = self.world.loop.now
+        if now > self._sure_until.get(node, 0.0) + 1e-6:
+            self.broken.append(f"{now:.2f} {node}: {what} without a sure lease")
+
+    def _watch(self, node: str, controller: Controller) -> None:
+        election = controller.election
+        # What an earlier process had is no right of this one.
+        self._sure_until.pop(node, None)
+        won, answer = election._won, controller.api.answer
+        state, cloud = self.world.ports[node]
+        controller._state._caller = RecordingPort(state, node, self)
+        cloud_port = RecordingPort(cloud, node, self)
+        controller._cloud = cloud_port
+
+        def begun(token: int) -> None:
+            self.terms.append((self.world.loop.now, node, token))
+            self.renewed(node, self.granted[node])
+            won(token)
+
+        async def answered(ask: Any) -> Any:
+            reply = await answer(ask)
+            if ask.verb in ("submit", "withdraw", "status") and reply.status in (200, 201):
+                self.act(node, f"{ask.verb} of {ask.job_id} answered")
+            return reply
+
+        election._won = begun
+        controller.api.answer = answered  # type: ignore[method-assign]
+
+    def _answered(self, node: str, request: Request, response: Response) -> None:
+        controller = self.world.controllers.get(node)
+        if controller is None or response.status not in (200, 201):
+            return
+        if request.path == HEARTBEAT_PATH:
+            self._commanded(node, controller, response.body)
+        elif request.path.startswith("/submissions") and controller._intake() is not None:
+            self.act(node, f"{request.path} answered")
+
+    def _commanded(self, node: str, controller: Controller, body: Any) -> None:
+        if any(one["verb"] == "start" for one in body["orders"]):
+            self.act(node, "a start")
+            return
+        election, now = controller.election, self.world.loop.now
+        # The node's own record of when the others confirmed that they had won nothing later.
+        confirmed = (self.world.loop.clock(self.world.drift[node]) - election._no_later_term_at).total_seconds()
+        until = max(self._sure_until.get(node, 0.0), now - confirmed) + election.holding.total_seconds()
+        if now > until + 1e-6:
+            self.broken.append(f"{now:.2f} {node}: a worker is answered past the holding time")
--- /dev/null
+++ b/tests/world/links.py
@@ -0,0 +1,145 @@
+"""Faults of single links, by a schedule that can be drawn from a seed, written to a file and played again.
+
+A link leads from a source to a target; each direction is a link of its own. The same schedules are played in
+the simulated world and by `tools/cut_links.py`.
+"""
+
+import random
+import tomllib
+from collections.abc import Iterable
+from pathlib import Path
+from typing import Any
+
+import jsonschema
+
+STORE, WORKERS, PEERS, LEADER, FOLLOWER = "store", "workers", "peers", "leader", "follower"
+KINDS = ("drop", "delay", "duplicate", "reset", "refuse")
+END = {"type": "string", "pattern": f"^({STORE}|{WORKERS}(/[a-z-]+)?|{PEERS}|{LEADER}|{FOLLOWER}|[a-z]+-[0-9]+)$"}
+SECONDS = {"type": "number", "minimum": 0, "maximum": 86400}
+FAULT = {
+    "type": "object",
+    "required": ["at_s", "for_s", "from", "to"],
+    "additionalProperties": False,
+    "properties": {
+        "at_s": SECONDS,
+        "for_s": SECONDS,
+        "from": END,
+        "to": END,
+        "kind": {"enum": list(KINDS)},
+        # Both directions; otherwise only what goes from the one to the other.
+        "both": {"type": "boolean"},
+        "delay_s": SECONDS,
+        # The fault comes and goes until `for_s` is over: so long it lasts, and so long it heals.
+        "on_s": SECONDS,
+        "off_s": SECONDS,
+    },
+}
+SCHEMA = {
+    "type": "object",
+    "required": ["faults"],
+    "additionalProperties": False,
+    "properties": {"faults": {"type": "array", "items": FAULT}, "jobs": {"type": "integer", "minimum": 0}},
+}
+Fault = dict[str, Any]
+
+
+class BadScheduleError(Exception):
+    """A schedule that can't be played; names the field."""
+
+
+def check_schedule(schedule: Any) -> list[Fault]:
+    """The faults of a schedule. Raises BadScheduleError."""
+    error = jsonschema.exceptions.best_match(jsonschema.Draft202012Validator(SCHEMA).iter_errors(schedule))
+    if error is not None:
+        field = ".".join(map(str, error.absolute_path)) or "the schedule"
+        raise BadScheduleError(f"{field}: {error.message}")
+    faults: list[Fault] = schedule["faults"]
+    for number, fault in enumerate(faults):
+        if ("on_s" in fault) != ("off_s" in fault) or fault.get("on_s", 1) + fault.get("off_s", 1) < 0.1:
+            raise BadScheduleError(f"faults.{number}: on_s and off_s belong together and last 0.1 s at least")
+        if fault.get("kind") == "delay" and "delay_s" not in fault:
+            raise BadScheduleError(f"faults.{number}: a delay needs delay_s")
+    return faults
+
+
+def read_schedule(path: Path) -> list[Fault]:
+    """Reads a file. Raises BadScheduleError, naming the file and the field."""
+    try:
+        return check_schedule(tomllib.loads(path.read_text()))
+    except (OSError, UnicodeDecodeError, tomllib.TOMLDecodeError, BadScheduleError) as error:
+        raise BadScheduleError(f"{path}: {error}") from error
+
+
+def spans(fault: Fault) -> list[tuple[float, float]]:
+    """When the fault is there: from, to; it heals in between."""
+    end = fault["at_s"] + fault["for_s"]
+    if "on_s" not in fault:
+        return [(fault["at_s"], end)]
+    found, at = [], fault["at_s"]
+    while at < end:
+        found.append((at, min(end, at + fault["on_s"])))
+        at += fault["on_s"] + fault["off_s"]
+    return found
+
+
+def draw(seed: int, ends: Iterable[tuple[str, str]], count: int, length: float) -> list[Fault]:
+    """Random faults of these links, all over after `length`."""
+    rng = random.Random(seed)
+    links = sorted(ends)
+    faults: list[Fault] = []
+    for _ in range(count):
+        source, target = rng.choice(links)
+        at = round(rng.uniform(0.0, length / 2), 2)
+        fault: Fault = {"at_s": at, "for_s": round(rng.uniform(1.0, length - at), 2), "from": source, "to": target}
+        fault |= {"kind": rng.choice(KINDS), "both": rng.random() < 0.6, "delay_s": round(rng.uniform(0.1, 6.0), 2)}
+        if rng.random() < 0.4:
+            fault |= {"on_s": round(rng.uniform(0.5, 12.0), 2), "off_s": round(rng.uniform(0.1, 10.0), 2)}
+        faults.append(fault)
+    return faults
+
+
+class LinkFaults:
+    """Which links have which faults now; each direction by itself."""
+
+    def __init__(self) -> None:
+        self._active: list[tuple[str, str, str, float]] = []
+        # Whether there ever was one; where there was none, others decide over the links.
+        self.used = False
+
+    def begin(self, source: str, target: str, fault: Fault) -> list[tuple[str, str, str, float]]:
+        """Begins a fault between two ends that are resolved; returns what ends it."""
+        kind, delay = fault.get("kind", "drop"), fault.get("delay_s", 0.0)
+        begun = [(source, target, kind, delay)]
+        if fault.get("both", False):
+            begun.append((target, source, kind, delay))
+        self._active += begun
+        self.used = True
+        return begun
+
+    def end(self, begun: list[tuple[str, str, str, float]]) -> None:
+        """The fault is over."""
+        for one in begun:
+            self._active.remove(one)
+
+    def has(self, kind: str, source: str, target: str) -> bool:
+        """Whether that link has such a fault."""
+        return any(
+            kind == found and _meets(source, one) and _meets(target, other) for one, other, found, _ in self._active
+        )
+
+    def delay(self, source: str, target: str) -> float:
+        """How much later what goes over the link arrives."""
+        return sum(
+            late
+            for one, other, kind, late in self._active
+            if kind == "delay" and _meets(source, one) and _meets(target, other)
+        )
+
+    def passes(self, source: str, target: str) -> bool:
+        """Whether anything gets over the link."""
+        return not (self.has("drop", source, target) or self.has("reset", source, target))
+
+
+def _meets(end: str, pattern: str) -> bool:
+    """An end by itself; `workers` stands for those of all zones."""
+    return end == pattern or (pattern == WORKERS and end.startswith(f"{WORKERS}/"))
--- a/tests/world/services.py
+++ b/tests/world/services.py
@@ -25,6 +25,9 @@
     twice: float = 0.0  # share of changes that are carried out a second time, later
     lost: float = 0.0  # share of answers lost after the request was carried out
     late: float = 0.0  # share of requests carried out only after the caller gave up
+    reset: bool = False  # connections are reset at once
+    slow_to: float = 0.0  # how much later requests arrive, in seconds
+    slow_from: float = 0.0  # how much later answers arrive, in seconds
 
 
 class Port:
@@ -48,6 +51,13 @@
             if trouble.testament:
                 loop.call_later(self._service.rng.uniform(0.0, 6.0), self._service.apply, method, path, body)
             await asyncio.Event().wait()
+        if trouble.reset:
+            raise NoResponseError("reset")
+        if trouble.slow_to:
+            await asyncio.sleep(trouble.slow_to)
+            if loop.now >= end:
+                loop.call_soon(self._service.apply, method, path, body)
+                raise NoResponseError("late")
         if trouble.cut:
             await asyncio.sleep(max(0.0, end - loop.now))
             raise NoResponseError("cut")
@@ -68,6 +78,10 @@
         if rng.random() < trouble.lost:
             await asyncio.sleep(max(0.0, end - loop.now))
             raise NoResponseError("answer lost")
+        if trouble.slow_from:
+            await asyncio.sleep(trouble.slow_from)
+            if loop.now >= end:
+                raise NoResponseError("answer late")
         await asyncio.sleep(self._service.delay())
         if trouble.dead:
             await asyncio.Event().wait()
--- a/tests/world/world.py
+++ b/tests/world/world.py
@@ -5,7 +5,7 @@
 import importlib
 import inspect
 import random
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
 from dataclasses import replace
 from datetime import timedelta
 from typing import Any, TypeVar
@@ -18,6 +18,7 @@
 from elmthread.peers.messages import ForwardedRequest, ForwardedResponse
 from elmthread.rollout.features import SUPPORTED, SupportedLevels
 from elmthread.rollout.settings import RolloutSettings
+from tests.world.links import FOLLOWER, LEADER, PEERS, STORE, WORKERS, Fault, LinkFaults, spans
 from tests.world.loop import NODE, SimLoop
 from tests.world.rules import Rules
 from tests.world.services import CloudStand, Port, Rented, StateStore, Trouble
@@ -190,6 +191,10 @@
         self.workers: dict[str, Worker] = {}
         self.controllers: dict[str, Controller] = {}
         self.ports: dict[str, list[Port]] = {}
+        # Faults of single links, and who watches what starts and what is answered.
+        self.link_faults = LinkFaults()
+        self.on_start: list[Callable[[str, Controller], None]] = []
+        self.on_answer: list[Callable[[str, Request, Response], None]] = []
         # Requests that a node is at work on.
         self.at_work: dict[str, set[Coroutine[Any, Any, Any]]] = {}
         # What runs in a node's context stands still with it.
@@ -239,11 +244,12 @@
             """Peer links without sockets."""
 
             def reaches(self, other: str) -> bool:
-                return world.reach(node, other)
+                passes = world.link_faults.passes
+                return world.reach(node, other) and passes(node, other) and passes(other, node)
 
             async def ask(self, other: str, ask: ForwardedRequest, timeout: timedelta) -> ForwardedResponse:
-                await asyncio.sleep(0.002)
-                if not world.reach(node, other):
+                await asyncio.sleep(0.002 + world.link_faults.delay(node, other))
+                if not world.reach(node, other) or not world.link_faults.passes(node, other):
                     raise not_reached(other)
                 heard = world.carried(ask, other)
                 try:
@@ -251,7 +257,8 @@
                         reply = await world.within(other, world.controllers[other].api.answer(heard))
                 except TimeoutError:
                     raise not_reached(other) from None
-                if not world.reach(node, other):
+                await asyncio.sleep(world.link_faults.delay(other, node))
+                if not world.reach(node, other) or not world.link_faults.passes(other, node):
                     raise not_reached(other)
                 answer: ForwardedResponse = world.carried(reply, node)
                 return answer
@@ -259,10 +266,13 @@
             def tell(self) -> None:
                 lead = self._say()
                 for other in world.nodes:
-                    if other != node and world.reach(node, other):
+                    if other != node and world.reach(node, other) and world.link_faults.passes(node, other):
                         hear = world.controllers[other].hear
                         heard = world.carried(lead, other)
-                        world.loop.call_later(0.003, hear, heard, context=world.contexts[other])
+                        late = 0.003 + world.link_faults.delay(node, other)
+                        world.loop.call_later(late, hear, heard, context=world.contexts[other])
+                        if world.link_faults.has("duplicate", node, other):
+                            world.loop.call_later(late + 1.0, hear, heard, context=world.contexts[other])
 
         context = self.contexts[node] = contextvars.copy_context()
         context.run(NODE.set, node)
@@ -282,9 +292,54 @@
             **of_this_version,
         )
         self.controllers[node] = controller
+        self._apply_to_store(node)
+        for watch in self.on_start:
+            watch(node, controller)
         self.tasks[node] = self.loop.create_task(self._run(controller), context=context)
         return controller
 
+    # Links
+
+    def resolve(self, end: str) -> list[str]:
+        """The ends that a name of a schedule stands for now."""
+        leader = next((node for node, one in self.controllers.items() if one is self.leader), self.nodes[0])
+        if end == LEADER:
+            return [leader]
+        if end == FOLLOWER:
+            return [next(node for node in self.nodes if node != leader)]
+        return [node for node in self.nodes if node != leader] if end == PEERS else [end]
+
+    async def play_faults(self, faults: list[Fault]) -> None:
+        """Plays a schedule to its end, from now on."""
+        await asyncio.gather(*(self._play_fault(fault) for fault in faults))
+
+    async def _play_fault(self, fault: Fault) -> None:
+        began = self.loop.now
+        for start, end in spans(fault):
+            await asyncio.sleep(max(0.0, began + start - self.loop.now))
+            pairs = [(one, other) for one in self.resolve(fault["from"]) for other in self.resolve(fault["to"])]
+            begun = [self.link_faults.begin(one, other, fault) for one, other in pairs if one != other]
+            self._apply_to_stores()
+            await asyncio.sleep(max(0.0, began + end - self.loop.now))
+            for one in begun:
+                self.link_faults.end(one)
+            self._apply_to_stores()
+
+    def _apply_to_stores(self) -> None:
+        for node in self.controllers:
+            self._apply_to_store(node)
+
+    def _apply_to_store(self, node: str) -> None:
+        trouble, links = self.ports[node][0].trouble, self.link_faults
+        if not links.used:
+            return
+        trouble.cut = links.has("drop", node, STORE)
+        trouble.reset = links.has("reset", node, STORE) or links.has("reset", STORE, node)
+        trouble.lost = float(links.has("drop", STORE, node))
+        trouble.twice = 0.5 * links.has("duplicate", node, STORE)
+        trouble.refused = links.has("refuse", node, STORE)
+        trouble.slow_to, trouble.slow_from = links.delay(node, STORE), links.delay(STORE, node)
+
     async def _run(self, controller: Controller) -> None:
         async with asyncio.TaskGroup() as group:
             # An earlier version has its election alone.
@@ -329,7 +384,10 @@
 
         async def served() -> Response:
             response = await handle(request)
-            return UNSURE if response.sure is not None and not response.sure() else response
+            response = UNSURE if response.sure is not None and not response.sure() else response
+            for watch in self.on_answer:
+                watch(node, request, response)
+            return response
 
         return await self.within(node, served())
 
@@ -378,8 +436,14 @@
         linked, answered_at = self.links.pop(worker, (node, None))
         request.answered_at = answered_at if linked == node else None
         await asyncio.sleep(self.rng.uniform(0.001, 0.01))
-        if self._hangs(worker, node):
+        zone = f"{WORKERS}/{self.workers[worker].zone}" if worker in self.workers else WORKERS
+        if self.link_faults.has("reset", zone, node) or self.link_faults.has("reset", node, zone):
+            raise ConnectionError(node)
+        await asyncio.sleep(self.link_faults.delay(zone, node))
+        if self._hangs(worker, node) or self.link_faults.has("drop", zone, node):
             await asyncio.sleep(60)
+        if self.link_faults.has("duplicate", zone, node):
+            self.loop.call_later(3.0, self._copy, node, replace(request, answered_at=None))
         if node not in self.controllers:
             raise ConnectionError(node)
         if self.rng.random() < self.copies:
@@ -394,9 +458,12 @@
             raise ConnectionError(node)
         response = await self.serve(node, request)
         answered_at = self.loop.clock(self.drift[node])
+        await asyncio.sleep(self.link_faults.delay(node, zone))
         if self.slow and self.rng.random() < self.slow:
             await asyncio.sleep(self.rng.uniform(0.5, 6.0))
         # The answer may be lost on its way, and the request may have been sent before.
+        if self.link_faults.has("drop", node, zone):
+            await asyncio.sleep(60)
         if self._hangs(worker, node) or worker in self.deaf or node in self.mute or self.rng.random() < 0.01:
             await asyncio.sleep(60)
         await asyncio.sleep(self.rng.uniform(0.001, 0.01))
