--- a/src/elmthread/reachability/command.py
+++ b/src/elmthread/reachability/command.py
@@ -62,11 +62,12 @@
 
 
 async def _ask_all(addresses: dict[str, str], within: timedelta) -> dict[str, LeaderAnnouncement | NotToldError]:
-    asked = [_ask(address, within) for address in addresses.values()]
+    asked = [ask(address, within) for address in addresses.values()]
     return dict(zip(addresses, await asyncio.gather(*asked), strict=True))
 
 
-async def _ask(address: str, within: timedelta) -> LeaderAnnouncement | NotToldError:
+async def ask(address: str, within: timedelta) -> LeaderAnnouncement | NotToldError:
+    """What the controller that listens there for others announces next."""
     try:
         async with asyncio.timeout(within.total_seconds()):
             reader, writer = await asyncio.open_connection(*split_address(address))
--- a/tools/loopback.py
+++ b/tools/loopback.py
@@ -137,7 +137,11 @@
             worker.gone()
 
     async def _report(self, name: str, node: str, request: Request) -> Response:
-        client = self._clients.setdefault((name, node), Client(self.controllers[node]))
+        return await self._report_to(name, node, self.controllers[node], request)
+
+    async def _report_to(self, name: str, node: str, address: str, request: Request) -> Response:
+        """A worker's report to a controller that it reaches at that address."""
+        client = self._clients.setdefault((name, node), Client(address))
         self.counts["reports"] += 1
         try:
             answer = await client.call(request.method, request.path, cbor2.loads(request.body), timeout=CALL_TIME)
--- a/tools/upgrade_cluster.py
+++ b/tools/upgrade_cluster.py
@@ -10,56 +10,25 @@
 
 import argparse
 import asyncio
-import os
 import sys
 import tempfile
 import time
-from asyncio.subprocess import PIPE, Process
-from collections import Counter
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from pathlib import Path
-from typing import Any
 
-from hdrh.histogram import HdrHistogram
-
-from elmthread.common.http import Answer, Client, NoResponseError
-from tests.world.world import job, sent
+from elmthread.common.http import Client, NoResponseError
 from tools.loopback import CALL_TIME, HOST, RealLoop, StandIns, free_ports
+from tools.processes import Node
+from tools.users import Users, Waits
 
 ROOT = Path(__file__).resolve().parent.parent
 NODES = ["loom-0", "loom-1", "loom-2"]
 MACHINES = 12
-# A user submits a job each so many seconds, of so many tasks, which take so long.
-JOB_EVERY_S, TASKS, TASK_S = 0.5, 8, 6.0
 # How long a process is away, and how long the next one waits for its turn.
 AWAY_S, TURN_S = 1.0, 4.0
-# Bounds of the histograms, in milliseconds, and their significant digits.
-SHORTEST_MS, LONGEST_MS, DIGITS = 1, 60_000, 3
-# Attempts of a user, a second apart; the protocol lets one try for 60 s.
-ATTEMPTS = 60
-LATE_MS = 1000
 PATIENCE_S = 120.0
 
 
-@dataclass
-class Waits:
-    """What users noticed in one phase."""
-
-    submissions: Any = field(default_factory=lambda: HdrHistogram(SHORTEST_MS, LONGEST_MS, DIGITS))
-    polls: Any = field(default_factory=lambda: HdrHistogram(SHORTEST_MS, LONGEST_MS, DIGITS))
-    counts: Counter[str] = field(default_factory=Counter)
-
-    def lines(self) -> list[str]:
-        """For the report."""
-        found = []
-        for name, histogram in (("submissions", self.submissions), ("polls", self.polls)):
-            total = histogram.get_total_count()
-            at = ", ".join(f"p{part:g} {histogram.get_value_at_percentile(part)} ms" for part in (50, 90, 99, 100))
-            found.append(f"  {total} {name} answered: {at}" if total else f"  no {name}")
-        found.append("  " + (", ".join(f"{count} {what}" for what, count in sorted(self.counts.items())) or "all well"))
-        return found
-
-
 @dataclass
 class Options:
     """How the cluster is upgraded."""
@@ -69,44 +38,6 @@
     soak_s: float
 
 
-class Node:
-    """One controller's process, whichever version it runs, and the lines that it logs."""
-
-    def __init__(self, name: str, folder: Path, began: float) -> None:
-        """Its settings lie in the folder."""
-        self.name = name
-        self.settings = folder / f"{name}.toml"
-        self.lines: list[tuple[float, str]] = []
-        self._began = began
-        self._process: Process | None = None
-        self._reading: asyncio.Task[None] | None = None
-
-    async def start(self, command: list[str], source: Path) -> None:
-        """Starts a process of a version."""
-        environment = os.environ | {"PYTHONPATH": f"{source / 'src'}:{source}", "LOG_LEVEL": "info"}
-        self._process = await asyncio.create_subprocess_exec(
-            *command, "--config", str(self.settings), env=environment, cwd=source, stderr=PIPE
-        )
-        self._reading = asyncio.get_running_loop().create_task(self._read(self._process))
-
-    async def _read(self, process: Process) -> None:
-        assert process.stderr is not None
-        while line := await process.stderr.readline():
-            self.lines.append((time.monotonic() - self._began, line.decode().rstrip()))
-
-    async def kill(self) -> None:
-        """Ends it without notice."""
-        if self._process is not None and self._process.returncode is None:
-            self._process.kill()
-            await self._process.wait()
-        if self._reading is not None:
-            await self._reading
-
-    def when(self, text: str) -> float | None:
-        """When it last logged a line with that text."""
-        return next((at for at, line in reversed(self.lines) if text in line), None)
-
-
 class Upgrade:
     """The run: stand-ins, users and three controllers that change their version."""
 
@@ -122,8 +53,7 @@
         self.waits = {"before": Waits(), "upgrade": Waits(), "after": Waits(), "rollback": Waits()}
         self._phase = "before"
         self._up: list[str] = []
-        self.ends: dict[str, str] = {}
-        self._next = 0
+        self._users = Users(self.stand_ins, self._addresses, lambda: self._up[:], lambda: self.waits[self._phase])
         self.happened: list[tuple[float, str]] = []
 
     def _note(self, what: str) -> None:
@@ -148,7 +78,7 @@
             await self._start_earlier(node)
         self.stand_ins.add_machines(MACHINES)
         await asyncio.sleep(3)
-        users = asyncio.get_running_loop().create_task(self._users())
+        users = asyncio.get_running_loop().create_task(self._users.submit())
         await asyncio.sleep(5)
         self._phase = "upgrade"
         for node in NODES:
@@ -212,69 +142,17 @@
             await asyncio.sleep(0.02)
         self._note("every controller uses the level")
 
-    # Users
-
-    async def _users(self) -> None:
-        while True:
-            spec = job(self._next, pieces=TASKS, expected_s=TASK_S, true_s=TASK_S)
-            self._next += 1
-            self.stand_ins.rules.submitted(spec)
-            asyncio.get_running_loop().create_task(self._follow(spec))
-            await asyncio.sleep(JOB_EVERY_S)
-
-    async def _follow(self, spec: dict[str, Any]) -> None:
-        job_id, waits = spec["name_id"], self.waits[self._phase]
-        began = time.monotonic()
-        for _ in range(ATTEMPTS):
-            answer = await self._ask(job_id, "POST", "/submissions", sent(spec))
-            if answer is not None and answer.status in (200, 201):
-                break
-            waits.counts["submissions tried again"] += 1
-            await asyncio.sleep(1)
-        else:
-            waits.counts["submissions given up"] += 1
-            return
-        took_ms = (time.monotonic() - began) * 1000
-        waits.submissions.record_value(max(SHORTEST_MS, round(took_ms)))
-        waits.counts["submissions that took over 1 s"] += took_ms > LATE_MS
-        while self.ends.get(job_id) != "done":
-            await asyncio.sleep(2)
-            await self._poll(job_id)
-
-    async def _poll(self, job_id: str) -> None:
-        waits, began = self.waits[self._phase], time.monotonic()
-        answer = await self._ask(job_id, "GET", f"/submissions/{job_id}", None)
-        if answer is None or answer.status != 200:
-            waits.counts["polls without an answer"] += 1
-            return
-        waits.polls.record_value(max(SHORTEST_MS, round((time.monotonic() - began) * 1000)))
-        self.ends[job_id] = answer.body["status"]
-
-    async def _ask(self, job_id: str, method: str, path: str, body: Any) -> Answer | None:
-        """As through a load balancer: another node is asked where one refuses the connection or is not ready."""
-        asked = asyncio.get_running_loop().time()
-        answer = None
-        for node in self._up[:]:
-            try:
-                answer = await Client(self._addresses[node]).call(method, path, body, timeout=CALL_TIME)
-            except NoResponseError:
-                continue
-            if answer.status != 503:
-                break
-        if answer is not None:
-            state = answer.body.get("status") if isinstance(answer.body, dict) else None
-            self.stand_ins.rules.heard(job_id, answer.status, state, asked)
-        return answer
+    # Ends
 
     async def _until_over(self) -> None:
         end = time.monotonic() + PATIENCE_S
         while time.monotonic() < end:
-            if len(self.ends) == self._next and set(self.ends.values()) == {"done"}:
-                self._note(f"all {self._next} jobs are done")
+            if len(self._users.ends) == self._users.count and set(self._users.ends.values()) == {"done"}:
+                self._note(f"all {self._users.count} jobs are done")
                 return
             await asyncio.sleep(0.5)
-        open_jobs = sorted(job_id for job_id, state in self.ends.items() if state != "done")
-        raise TimeoutError(f"{len(open_jobs)} of {self._next} jobs have not ended: {open_jobs[:5]}")
+        open_jobs = sorted(job_id for job_id, state in self._users.ends.items() if state != "done")
+        raise TimeoutError(f"{len(open_jobs)} of {self._users.count} jobs have not ended: {open_jobs[:5]}")
 
     # Report
 
