The cluster to try runs jobs that are submitted from outside

Cause: tried as a new user, a job stayed queued, as the stand-in workers knew only the tool's own jobs.

--- a/tools/cut_links.py
+++ b/tools/cut_links.py
@@ -20,6 +20,7 @@
 from elmthread.common.http import Request, Response
 from elmthread.peers.messages import LeaderAnnouncement
 from elmthread.reachability.command import ANNOUNCED_WITHIN, ask, describe
+from tests.world.earlier import newest
 from tests.world.links import (
     FOLLOWER,
     LEADER,
@@ -110,6 +111,15 @@
         for node in self.nodes.values():
             await node.kill()
 
+    def learn_jobs(self) -> None:
+        """Tells the workers of jobs that were submitted from outside, as they would fetch them from their users."""
+        rules = self.stand_ins.rules
+        for key, record in newest(self.stand_ins.store.values()).items():
+            if key.startswith("j/") and "spec" in record and key.removeprefix("j/") not in rules.specs:
+                spec = record["spec"]
+                open_fields = {"builds": None, "yard": None, "due_s": None}
+                rules.submitted(open_fields | spec | {"true_s": spec["expected_s"] or float("inf")})
+
     async def watch(self) -> None:
         """Prints each change of what a controller says of its links, and who leads."""
         while True:
@@ -166,8 +176,9 @@
         print(f"elmthread {verb} --server {cluster.addresses[node]} {what}")
     print(f"elmthread links --config {cluster.nodes[node].settings}")
     print("Ctrl-C ends it.", flush=True)
-    await asyncio.Event().wait()
-    return 0
+    while True:
+        cluster.learn_jobs()
+        await asyncio.sleep(LOOK_EVERY_S / 2)
 
 
 async def play(cluster: Cluster, faults: list[Fault]) -> int:
