--- a/src/elmthread/agents/service.py
+++ b/src/elmthread/agents/service.py
@@ -40,7 +40,7 @@
 log = logging.getLogger(__name__)
 
 MOST_ORDERS = 300
-LINGER = seconds(0.4)
+START_WAIT = seconds(0.4)
 # Answers that started something in vain, one after the other, before a machine is taken for deaf.
 MISSED = 3
 # A worker waits for an answer for so long.
@@ -112,7 +112,7 @@
         machine.quiet = False
         exits, commands = self._take(machine, report, now)
         if machine.open and self._may_come(machine):
-            await self._linger(machine)
+            await self._wait_for_starts(machine)
             if not self._term.answers_workers():
                 return Response(421, messages.elsewhere(self._term.leader))
         commands += [messages.reap(task.name, task.attempt) for task in exits if task.attempt not in machine.to_reap]
@@ -180,11 +180,11 @@
             allocation.state is AllocationState.PLANNED for allocation in machine.allocations.values()
         )
 
-    async def _linger(self, machine: Machine) -> None:
+    async def _wait_for_starts(self, machine: Machine) -> None:
         """Waits a moment for starts that are being made durable: quicker than the next report."""
         event = self._waiting.setdefault(machine.name, asyncio.Event())
         try:
-            async with asyncio.timeout(LINGER.total_seconds()):
+            async with asyncio.timeout(START_WAIT.total_seconds()):
                 await event.wait()
         except TimeoutError:
             pass
--- a/src/elmthread/controller.py
+++ b/src/elmthread/controller.py
@@ -462,7 +462,7 @@
         if leader is None or not leader.loaded:
             known = self.election.leader
             other = None if known == self._platform.node else known
-            return self.reachability.turn_away(request, other, self.election.seen_token)
+            return self.reachability.redirect(request, other, self.election.seen_token)
         return await leader.agents.heartbeat(request)
 
     def hear(self, lead: LeaderAnnouncement) -> None:
--- a/src/elmthread/fleet/service.py
+++ b/src/elmthread/fleet/service.py
@@ -363,7 +363,7 @@
             if machine is None:
                 continue
             machine.move(MachineState.GONE)
-            self._cluster.bury(machine, now)
+            self._cluster.remove_machine(machine, now)
             self._refused.pop(Kind(machine.build, machine.zone, machine.spot), None)
             self._missing.pop(name, None)
             self._writer.delete(machine_key(name))
--- a/src/elmthread/fleet/tests/test_service.py
+++ b/src/elmthread/fleet/tests/test_service.py
@@ -125,11 +125,11 @@
     one.take_list([])
     assert up.state.name == "DELETING"
     # One that was deleted is no news when a late list still names it.
-    cluster.bury(up, cloud.loop.clock())
+    cluster.remove_machine(up, cloud.loop.clock())
     one.take_list([seen])
     assert up.name not in cluster.machines
     # Names are not kept for ever.
-    cluster.bury(booting, cloud.loop.clock() + REMEMBERED * 2)
+    cluster.remove_machine(booting, cloud.loop.clock() + REMEMBERED * 2)
     assert set(cluster.gone) == {booting.name}
     cloud.loop.close()
 
--- a/src/elmthread/intake/jobs.py
+++ b/src/elmthread/intake/jobs.py
@@ -11,7 +11,7 @@
 from elmthread.ledger.log import slot_bytes, text_of, weight
 from elmthread.ledger.records import job_key, job_record
 from elmthread.placement.cluster import Job
-from elmthread.placement.decide import Want
+from elmthread.placement.decide import TaskRequest
 from elmthread.placement.service import may_ever_run
 from elmthread.rollout.features import ActiveFeatures, Feature
 from elmthread.settings.operators import Operators
@@ -78,7 +78,7 @@
         team = self._teams.get(spec.team)
         if team is None:
             return "unknown team"
-        want = Want(
+        request = TaskRequest(
             job=spec.id,
             team=spec.team,
             order=(),
@@ -94,4 +94,4 @@
         if weight(job_key(spec.id), text_of(record)) > self._most_record:
             return "its record is larger than the state service takes"
         types = [(t.name, t.cpus, t.cards, t.memory_gb, t.zones) for t in kinds]
-        return may_ever_run(want, team, types)
+        return may_ever_run(request, team, types)
--- a/src/elmthread/ledger/log.py
+++ b/src/elmthread/ledger/log.py
@@ -17,7 +17,7 @@
 import msgspec
 
 SLOTS = "s/"
-# Room in a value for its own frame, and for characters that the text's quoting adds.
+# Space in a value for its own frame, and for characters that the text's quoting adds.
 FRAME = 64
 
 
@@ -208,7 +208,7 @@
                 break
         return moved
 
-    def emptiest(self, busy: set[str], room: int) -> dict[str, str]:
+    def least_filled(self, busy: set[str], room: int) -> dict[str, str]:
         """Current records of the slot with the fewest bytes of them, if they fit into `room`."""
         best: Slot | None = None
         for slot in self._slots.values():
--- a/src/elmthread/ledger/writer.py
+++ b/src/elmthread/ledger/writer.py
@@ -242,7 +242,7 @@
             busy, room = self._busy | self._waiting.keys(), self._slots.most - last.size
             moved = self._slots.too_large(busy, room)
             if not moved and self._slots.crowded():
-                moved = self._slots.emptiest(busy, room)
+                moved = self._slots.least_filled(busy, room)
             if not moved:
                 return
             last.texts |= moved
--- a/src/elmthread/placement/cluster.py
+++ b/src/elmthread/placement/cluster.py
@@ -376,7 +376,7 @@
         if job.open:
             self.open_jobs[job.id] = job
 
-    def bury(self, machine: Machine, now: timedelta) -> None:
+    def remove_machine(self, machine: Machine, now: timedelta) -> None:
         """The machine and all on it are surely gone."""
         self.machines.pop(machine.name, None)
         self.drop_all(machine, now)
--- a/src/elmthread/placement/decide.py
+++ b/src/elmthread/placement/decide.py
@@ -11,7 +11,7 @@
 
 
 @dataclass(slots=True)
-class Slot:
+class FreeCapacity:
     """A machine with room."""
 
     name: str
@@ -31,7 +31,7 @@
 
 
 @dataclass(slots=True)
-class Want:
+class TaskRequest:
     """Tasks of one job that wait for room, all alike."""
 
     job: str
@@ -65,7 +65,7 @@
 
 
 @dataclass(slots=True)
-class Room:
+class TeamAllowance:
     """What a team may still use."""
 
     cpus: float = math.inf
@@ -75,37 +75,37 @@
 TINY = 1e-6
 
 
-def allowed(want: Want, build: str, zone: str, spot: bool) -> bool:
+def allowed(request: TaskRequest, build: str, zone: str, spot: bool) -> bool:
     """The job's own word on types, zones and spot machines."""
     return (
-        (want.types is None or build in want.types)
-        and (want.zone is None or zone == want.zone)
-        and (want.spot or not spot)
-        and not (want.one_zone and want.zones and zone not in want.zones)
+        (request.types is None or build in request.types)
+        and (request.zone is None or zone == request.zone)
+        and (request.spot or not spot)
+        and not (request.one_zone and request.zones and zone not in request.zones)
     )
 
 
-def fits(want: Want, slot: Slot, room: Room, apart: bool = False) -> int:
+def fits(request: TaskRequest, slot: FreeCapacity, allowance: TeamAllowance, apart: bool = False) -> int:
     """How many of the tasks the machine, the team's limit and the zones take.
 
     `apart`: no more of them on one machine than are to stand there if others have room.
     """
-    if slot.name in want.avoid or not allowed(want, slot.build, slot.zone, slot.spot):
+    if slot.name in request.avoid or not allowed(request, slot.build, slot.zone, slot.spot):
         return 0
-    count = want.count
-    if want.each > 0 and slot.record_left < want.entry + count * want.each:
-        count = int((slot.record_left - want.entry) // want.each)
-    if apart and want.machine_most < math.inf:
-        count = min(count, int(want.machine_most) - want.machines.get(slot.name, 0))
-    cpus = min(slot.cpus, room.cpus)
-    if want.cpus > 0:
-        count = min(count, int(cpus / want.cpus + TINY))
-    if want.cards > 0:
-        count = min(count, int(min(slot.cards, room.cards) / want.cards + TINY))
-    if want.ram > 0:
-        count = min(count, int(slot.ram / want.ram + TINY))
-    if want.zone_most < math.inf:
-        count = min(count, int(want.zone_most) - want.zones.get(slot.zone, 0))
+    count = request.count
+    if request.each > 0 and slot.record_left < request.entry + count * request.each:
+        count = int((slot.record_left - request.entry) // request.each)
+    if apart and request.machine_most < math.inf:
+        count = min(count, int(request.machine_most) - request.machines.get(slot.name, 0))
+    cpus = min(slot.cpus, allowance.cpus)
+    if request.cpus > 0:
+        count = min(count, int(cpus / request.cpus + TINY))
+    if request.cards > 0:
+        count = min(count, int(min(slot.cards, allowance.cards) / request.cards + TINY))
+    if request.ram > 0:
+        count = min(count, int(slot.ram / request.ram + TINY))
+    if request.zone_most < math.inf:
+        count = min(count, int(request.zone_most) - request.zones.get(slot.zone, 0))
     return max(0, count)
 
 
@@ -122,30 +122,30 @@
 FETCH_COST = {Fetch.THERE: 0.0, Fetch.COMING: 0.5, Fetch.ALONE: 1.0, Fetch.SHARED: 2.0}
 
 
-def way_to_image(want: Want, slot: Slot) -> Fetch:
-    if want.image in slot.images:
+def way_to_image(request: TaskRequest, slot: FreeCapacity) -> Fetch:
+    if request.image in slot.images:
         return Fetch.THERE
-    if want.image in slot.coming:
+    if request.image in slot.coming:
         return Fetch.COMING
     return Fetch.SHARED if slot.coming else Fetch.ALONE
 
 
-def dearness(want: Want, price: float, cheapest: float) -> float:
+def price_penalty(request: TaskRequest, price: float, cheapest: float) -> float:
     """Price weighed in seconds: a machine at twice the cheapest price per core counts like
     ten seconds of waiting for an image, for urgent work like two.
     """
-    weight = 2.0 if want.urgent else 10.0
+    weight = 2.0 if request.urgent else 10.0
     return weight * min(price / cheapest - 1.0 if cheapest > 0 else 0.0, 5.0)
 
 
-class _Shelf:
+class _MachineGroup:
     """Machines alike but for their room, images and zone, the fullest first."""
 
-    def __init__(self, slots: list[Slot]) -> None:
+    def __init__(self, slots: list[FreeCapacity]) -> None:
         self.slots = slots
         self.sorted = False
 
-    def in_order(self) -> list[Slot]:
+    def in_order(self) -> list[FreeCapacity]:
         if not self.sorted:
             self.slots = [slot for slot in self.slots if slot.cpus > TINY]
             self.slots.sort(key=_fullest)
@@ -153,103 +153,105 @@
         return self.slots
 
 
-def _fullest(slot: Slot) -> tuple[float, str]:
+def _fullest(slot: FreeCapacity) -> tuple[float, str]:
     return (slot.cpus, slot.name)
 
 
-def place(wants: Iterable[Want], slots: Iterable[Slot], rooms: dict[str, Room]) -> list[tuple[Want, Slot, int]]:
-    """Gives tasks to machines in the order of `wants`; slots, rooms and wants are used up.
+def place(
+    requests: Iterable[TaskRequest], slots: Iterable[FreeCapacity], allowances: dict[str, TeamAllowance]
+) -> list[tuple[TaskRequest, FreeCapacity, int]]:
+    """Gives tasks to machines in the order of `requests`; slots, allowances and requests are used up.
 
-    Machines that differ only in room, images and zone stand on one shelf, so that a job is
+    Machines that differ only in room, images and zone are one group, so that a job is
     weighed against a few shelves and not against every machine. `tests/plain.py` looks at
     every machine; the tests compare the two.
     """
-    placed: list[tuple[Want, Slot, int]] = []
-    by_kind: dict[tuple[bool, str, bool, float, float], list[Slot]] = {}
+    placed: list[tuple[TaskRequest, FreeCapacity, int]] = []
+    by_kind: dict[tuple[bool, str, bool, float, float], list[FreeCapacity]] = {}
     cheapest = math.inf
     for slot in slots:
         cheapest = min(cheapest, slot.price)
         if slot.cpus > TINY:
             by_kind.setdefault((slot.fading, slot.build, slot.spot, slot.price, slot.fetch_rate), []).append(slot)
-    shelves = [_Shelf(some) for some in by_kind.values()]
-    for want in wants:
-        room = rooms.setdefault(want.team, Room())
-        if want.count <= 0:
+    groups = [_MachineGroup(some) for some in by_kind.values()]
+    for request in requests:
+        allowance = allowances.setdefault(request.team, TeamAllowance())
+        if request.count <= 0:
             continue
-        if room.cpus + TINY < want.cpus:
-            if want.urgent:
-                keep_for(room)
+        if allowance.cpus + TINY < request.cpus:
+            if request.urgent:
+                keep_for(allowance)
             continue
-        if want.machine_most < math.inf:
-            _give(want, shelves, cheapest, room, True, placed)
-        if want.count > 0 and room.cpus + TINY >= want.cpus:
-            _give(want, shelves, cheapest, room, False, placed)
-        if want.urgent and want.count > 0 and room.cpus + TINY < want.cpus:
-            keep_for(room)
+        if request.machine_most < math.inf:
+            _give(request, groups, cheapest, allowance, True, placed)
+        if request.count > 0 and allowance.cpus + TINY >= request.cpus:
+            _give(request, groups, cheapest, allowance, False, placed)
+        if request.urgent and request.count > 0 and allowance.cpus + TINY < request.cpus:
+            keep_for(allowance)
     return placed
 
 
 def _give(
-    want: Want,
-    shelves: list[_Shelf],
+    request: TaskRequest,
+    groups: list[_MachineGroup],
     cheapest: float,
-    room: Room,
+    allowance: TeamAllowance,
     apart: bool,
-    placed: list[tuple[Want, Slot, int]],
+    placed: list[tuple[TaskRequest, FreeCapacity, int]],
 ) -> None:
-    # Each shelf counts once for each way in which its machines come by the image.
+    # Each group counts once for each way in which its machines come by the image.
     ranks = []
-    for number, shelf in enumerate(shelves):
-        if not shelf.in_order():
+    for number, group in enumerate(groups):
+        if not group.in_order():
             continue
-        one = shelf.slots[0]
-        if (want.types is not None and one.build not in want.types) or (one.spot and not want.spot):
+        one = group.slots[0]
+        if (request.types is not None and one.build not in request.types) or (one.spot and not request.spot):
             continue
-        if shelf.slots[-1].cpus + TINY < want.cpus:
+        if group.slots[-1].cpus + TINY < request.cpus:
             continue
-        time, dear = want.image_gb / one.fetch_rate, dearness(want, one.price, cheapest)
+        time, dear = request.image_gb / one.fetch_rate, price_penalty(request, one.price, cheapest)
         ranks += [(one.fading, FETCH_COST[way] * time + dear, number, way) for way in Fetch]
     ranks.sort()
-    ways: dict[int, dict[Fetch, list[Slot]]] = {}
+    ways: dict[int, dict[Fetch, list[FreeCapacity]]] = {}
     for _, _, number, way in ranks:
-        shelf = shelves[number]
+        group = groups[number]
         if number not in ways:
             ways[number] = {}
-            for slot in shelf.slots:
-                ways[number].setdefault(way_to_image(want, slot), []).append(slot)
+            for slot in group.slots:
+                ways[number].setdefault(way_to_image(request, slot), []).append(slot)
         for slot in ways[number].get(way, ()):
-            count = fits(want, slot, room, apart)
+            count = fits(request, slot, allowance, apart)
             if count <= 0:
                 continue
-            take(want, slot, room, count)
-            shelf.sorted = False
-            placed.append((want, slot, count))
-            if want.count <= 0 or room.cpus + TINY < want.cpus:
+            take(request, slot, allowance, count)
+            group.sorted = False
+            placed.append((request, slot, count))
+            if request.count <= 0 or allowance.cpus + TINY < request.cpus:
                 return
 
 
-def keep_for(room: Room) -> None:
+def keep_for(allowance: TeamAllowance) -> None:
     """What the team has left gathers for its urgent task, or smaller ones would take it each time."""
-    room.cpus = 0.0
+    allowance.cpus = 0.0
 
 
-def take(want: Want, slot: Slot, room: Room, count: int) -> None:
-    want.count -= count
-    want.zones[slot.zone] = want.zones.get(slot.zone, 0) + count
-    slot.cpus -= count * want.cpus
-    slot.cards -= count * want.cards
-    slot.ram -= count * want.ram
-    slot.record_left -= want.entry + count * want.each
-    if want.machine_most < math.inf:
-        want.machines[slot.name] = want.machines.get(slot.name, 0) + count
-    if want.image not in slot.images:
-        slot.coming.add(want.image)
-    room.cpus -= count * want.cpus
-    room.cards -= count * want.cards
+def take(request: TaskRequest, slot: FreeCapacity, allowance: TeamAllowance, count: int) -> None:
+    request.count -= count
+    request.zones[slot.zone] = request.zones.get(slot.zone, 0) + count
+    slot.cpus -= count * request.cpus
+    slot.cards -= count * request.cards
+    slot.ram -= count * request.ram
+    slot.record_left -= request.entry + count * request.each
+    if request.machine_most < math.inf:
+        request.machines[slot.name] = request.machines.get(slot.name, 0) + count
+    if request.image not in slot.images:
+        slot.coming.add(request.image)
+    allowance.cpus -= count * request.cpus
+    allowance.cards -= count * request.cards
 
 
 @dataclass(slots=True)
-class Victim:
+class PreemptionCandidate:
     """A running task that may be stopped, and what stopping it loses."""
 
     attempt: int
@@ -262,79 +264,88 @@
     rank: int = 9
 
 
-def preempt(want: Want, slots: dict[str, Slot], victims: dict[str, list[Victim]], room: Room) -> list[Victim]:
-    """The tasks to stop so that `want` gets room: those that lose least for the room they give.
+def preempt(
+    request: TaskRequest,
+    slots: dict[str, FreeCapacity],
+    candidates: dict[str, list[PreemptionCandidate]],
+    allowance: TeamAllowance,
+) -> list[PreemptionCandidate]:
+    """The tasks to stop so that `request` gets room: those that lose least for the room they give.
 
     `slots` counts room that is already being freed; `victims` are by machine, and those that
     are chosen are taken out. Machines where the loss for one task's room is least come first.
     """
-    chosen: list[Victim] = []
+    chosen: list[PreemptionCandidate] = []
 
-    def stop(victim: Victim) -> None:
-        victims[victim.machine].remove(victim)
-        slot = slots.get(victim.machine)
+    def stop(candidate: PreemptionCandidate) -> None:
+        candidates[candidate.machine].remove(candidate)
+        slot = slots.get(candidate.machine)
         if slot is not None:
-            slot.cpus += victim.cpus
-            slot.cards += victim.cards
-            slot.ram += victim.ram
-        chosen.append(victim)
+            slot.cpus += candidate.cpus
+            slot.cards += candidate.cards
+            slot.ram += candidate.ram
+        chosen.append(candidate)
 
     # A team at its limit makes room for its urgent work itself, wherever its tasks run.
-    if room.cpus + TINY < want.count * want.cpus:
-        own = [one for held in victims.values() for one in held if one.team == want.team and one.rank > want.rank]
-        own.sort(key=lambda victim: victim.loss)
-        for victim in own:
-            if room.cpus + TINY >= want.count * want.cpus:
+    if allowance.cpus + TINY < request.count * request.cpus:
+        own = [
+            one for held in candidates.values() for one in held if one.team == request.team and one.rank > request.rank
+        ]
+        own.sort(key=lambda candidate: candidate.loss)
+        for candidate in own:
+            if allowance.cpus + TINY >= request.count * request.cpus:
                 break
-            room.cpus += victim.cpus
-            room.cards += victim.cards
-            stop(victim)
+            allowance.cpus += candidate.cpus
+            allowance.cards += candidate.cards
+            stop(candidate)
         if chosen:
-            place([want], slots.values(), {want.team: room})
-    if want.count <= 0 or room.cpus + TINY < want.cpus:
+            place([request], slots.values(), {request.team: allowance})
+    if request.count <= 0 or allowance.cpus + TINY < request.cpus:
         return chosen
     # One look at each machine, then the best again and again: only its own offer changes.
     offers: list[tuple[float, int, str]] = []
 
     def offer(order: int, name: str) -> None:
         slot = slots.get(name)
-        if slot is None or name in want.avoid or not allowed(want, slot.build, slot.zone, slot.spot):
+        if slot is None or name in request.avoid or not allowed(request, slot.build, slot.zone, slot.spot):
             return
-        some = enough(want, slot, victims[name])
+        some = enough(request, slot, candidates[name])
         if some is not None:
-            loss = sum(victim.loss.total_seconds() * victim.cpus for victim in some)
+            loss = sum(candidate.loss.total_seconds() * candidate.cpus for candidate in some)
             heapq.heappush(offers, (loss, order, name))
 
-    for order, name in enumerate(victims):
+    for order, name in enumerate(candidates):
         offer(order, name)
-    while offers and want.count > 0 and room.cpus + TINY >= want.cpus:
+    while offers and request.count > 0 and allowance.cpus + TINY >= request.cpus:
         _, order, name = heapq.heappop(offers)
         slot = slots[name]
-        if not allowed(want, slot.build, slot.zone, slot.spot):
+        if not allowed(request, slot.build, slot.zone, slot.spot):
             continue
-        if want.zones.get(slot.zone, 0) >= want.zone_most:
+        if request.zones.get(slot.zone, 0) >= request.zone_most:
             continue
-        some = enough(want, slot, victims[name])
+        some = enough(request, slot, candidates[name])
         if some is None:
             continue
-        for victim in some:
-            stop(victim)
-        take(want, slot, room, 1)
+        for candidate in some:
+            stop(candidate)
+        take(request, slot, allowance, 1)
         offer(order, name)
     return chosen
 
 
-def enough(want: Want, slot: Slot, held: list[Victim]) -> list[Victim] | None:
-    """The cheapest victims on one machine whose room, with what is free, takes one task."""
+def enough(
+    request: TaskRequest, slot: FreeCapacity, held: list[PreemptionCandidate]
+) -> list[PreemptionCandidate] | None:
+    """The cheapest candidates on one machine whose room, with what is free, takes one task."""
     cpus, cards, ram = slot.cpus, slot.cards, slot.ram
-    some: list[Victim] = []
-    for victim in sorted((one for one in held if one.rank > want.rank), key=lambda victim: victim.loss):
-        if cpus + TINY >= want.cpus and cards + TINY >= want.cards and ram + TINY >= want.ram:
+    some: list[PreemptionCandidate] = []
+    for candidate in sorted((one for one in held if one.rank > request.rank), key=lambda candidate: candidate.loss):
+        if cpus + TINY >= request.cpus and cards + TINY >= request.cards and ram + TINY >= request.ram:
             break
-        some.append(victim)
-        cpus += victim.cpus
-        cards += victim.cards
-        ram += victim.ram
-    if cpus + TINY >= want.cpus and cards + TINY >= want.cards and ram + TINY >= want.ram:
+        some.append(candidate)
+        cpus += candidate.cpus
+        cards += candidate.cards
+        ram += candidate.ram
+    if cpus + TINY >= request.cpus and cards + TINY >= request.cards and ram + TINY >= request.ram:
         return some
     return None
--- a/src/elmthread/placement/service.py
+++ b/src/elmthread/placement/service.py
@@ -19,9 +19,17 @@
     entry_size,
     task_size,
 )
-from elmthread.placement.decide import Room, Slot, Victim, Want, fits, place, preempt
+from elmthread.placement.decide import (
+    FreeCapacity,
+    PreemptionCandidate,
+    TaskRequest,
+    TeamAllowance,
+    fits,
+    place,
+    preempt,
+)
 from elmthread.settings.platform import Team
-from elmthread.sizing.decide import Line, forsaken
+from elmthread.sizing.decide import Line, jobs_to_put_off
 
 log = logging.getLogger(__name__)
 
@@ -80,18 +88,18 @@
     def round(self) -> None:
         now = self._clock()
         self._stop_for_recall(now)
-        wants = self.wants(now)
-        if not wants:
+        requests = self.requests(now)
+        if not requests:
             self.waiting = False
             return
-        rooms = self.rooms()
+        allowances = self.allowances()
         machines = [machine for machine in self._cluster.up() if machine.open and machine.cpus > machine.cpus_used]
         slots = {machine.name: _slot(machine, self._cluster) for machine in machines}
         touched: dict[str, Machine] = {}
         left = MOST_PLACED
-        for want, slot, count in place(wants, slots.values(), rooms):
+        for request, slot, count in place(requests, slots.values(), allowances):
             machine = self._cluster.machines[slot.name]
-            job = self._cluster.jobs[want.job]
+            job = self._cluster.jobs[request.job]
             for _ in range(min(count, left)):
                 task = job.pending.popleft()
                 self._cluster.allocate(machine, job, task, self._next_attempt(), AllocationState.PLANNED)
@@ -101,33 +109,33 @@
                 break
         for machine in touched.values():
             self._assign(machine)
-        self.waiting = left <= 0 or any(want.count > 0 for want in wants)
+        self.waiting = left <= 0 or any(request.count > 0 for request in requests)
         if left > 0 and now - self._preempted_at >= PREEMPT_EVERY:
-            urgent = [want for want in wants if want.urgent and want.count > 0]
+            urgent = [request for request in requests if request.urgent and request.count > 0]
             if urgent:
                 self._preempted_at = now
-                self._make_room(urgent, rooms, now)
+                self._make_room(urgent, allowances, now)
 
     def limit(self, team: str) -> float:
         return self._teams[team].cpu_limit if team in self._teams else math.inf
 
-    def rooms(self) -> dict[str, Room]:
+    def allowances(self) -> dict[str, TeamAllowance]:
         return {
-            name: Room(
+            name: TeamAllowance(
                 team.cpu_limit - self._cluster.cpus_of.get(name, 0.0),
                 team.card_limit - self._cluster.cards_of.get(name, 0.0),
             )
             for name, team in self._teams.items()
         }
 
-    def wants(self, now: timedelta) -> list[Want]:
+    def requests(self, now: timedelta) -> list[TaskRequest]:
         """What waits, in the order in which it gets room."""
         if self._ordered_at is None or now - self._ordered_at >= ORDER_EVERY:
             self._ordered_at = now
             self._guaranteed = self._fit_guarantees()
             self._last = self._put_off(now)
-        wants: list[Want] = []
-        put_off: list[tuple[timedelta, Want]] = []
+        requests: list[TaskRequest] = []
+        put_off: list[tuple[timedelta, TaskRequest]] = []
         for job in self._cluster.open_jobs.values():
             count = len(job.pending)
             if not count or job.stored is not JobState.OPEN or job.retry_at > now:
@@ -146,28 +154,28 @@
                 order = (1.0, 2.0, due)
             else:
                 order = (1.0, 1.0, due)
-            want = self._want(job, order, count)
-            wants.append(want)
+            request = self._want(job, order, count)
+            requests.append(request)
             if first and not job.live:
                 # Nobody is left out: whatever the load, something of every job begins.
-                wants.append(_split(want, 1, (-1.0, job.rank, due)))
+                requests.append(_split(request, 1, (-1.0, job.rank, due)))
             if order[1] == 2.0 and not job.urgent and now - job.since > BEGIN:
-                put_off.append((job.since, want))
+                put_off.append((job.since, request))
         if put_off:
-            wants += self._part(put_off)
-        wants.sort(key=lambda want: want.order)
-        return wants
+            requests += self._part(put_off)
+        requests.sort(key=lambda request: request.order)
+        return requests
 
-    def _part(self, put_off: list[tuple[timedelta, Want]]) -> list[Want]:
+    def _part(self, put_off: list[tuple[timedelta, TaskRequest]]) -> list[TaskRequest]:
         """Tasks of jobs put off for long that go in turn with the others all the same."""
         turns = []
         cores = PART * sum(machine.cpus for machine in self._cluster.up() if machine.open)
-        for _, want in sorted(put_off, key=lambda one: one[0]):
-            cores -= len(self._cluster.jobs[want.job].live) * want.cpus
-            count = min(want.count, int(cores / want.cpus))
+        for _, request in sorted(put_off, key=lambda one: one[0]):
+            cores -= len(self._cluster.jobs[request.job].live) * request.cpus
+            count = min(request.count, int(cores / request.cpus))
             if count > 0:
-                cores -= count * want.cpus
-                turns.append(_split(want, count, (1.0, 1.0, want.order[2])))
+                cores -= count * request.cpus
+                turns.append(_split(request, count, (1.0, 1.0, request.order[2])))
         return turns
 
     def _fit_guarantees(self) -> set[str]:
@@ -217,17 +225,17 @@
         for name, line in lines.items():
             own_cores = self._teams[name].cpu_limit - standing.get(name, 0.0)
             if own_cores > 0:
-                last |= forsaken(line, own_cores, urgent.get(name, 0.0))
+                last |= jobs_to_put_off(line, own_cores, urgent.get(name, 0.0))
         cores = sum(machine.cpus for machine in self._cluster.machines.values() if machine.serves(now))
         cores -= sum(standing.values())
         if cores > 0:
             rest = [one for line in lines.values() for one in line if one.job not in last]
-            last |= forsaken(rest, cores, sum(urgent.values()))
+            last |= jobs_to_put_off(rest, cores, sum(urgent.values()))
         return last
 
-    def _want(self, job: Job, order: tuple[float, ...], count: int) -> Want:
+    def _want(self, job: Job, order: tuple[float, ...], count: int) -> TaskRequest:
         spec = job.spec
-        return Want(
+        return TaskRequest(
             job=job.id,
             team=spec.team,
             order=order,
@@ -252,13 +260,13 @@
             machines=Counter(allocation.machine.name for allocation in job.live.values()) if job.daemon else {},
         )
 
-    def _make_room(self, wants: list[Want], rooms: dict[str, Room], now: timedelta) -> None:
+    def _make_room(self, requests: list[TaskRequest], allowances: dict[str, TeamAllowance], now: timedelta) -> None:
         """Urgent work that lacks room requeues deferrable work."""
         slots = {machine.name: _slot(machine, self._cluster) for machine in self._cluster.up() if machine.open}
-        victims: dict[str, list[Victim]] = {}
+        candidates: dict[str, list[PreemptionCandidate]] = {}
         for name, slot in slots.items():
             machine = self._cluster.machines[name]
-            held = victims[name] = []
+            held = candidates[name] = []
             for allocation in machine.allocations.values():
                 spec = allocation.job.spec
                 if allocation.stop is not None:
@@ -266,15 +274,15 @@
                     slot.cpus += spec.cpus
                     slot.cards += spec.cards
                     slot.ram += spec.ram_gb
-                    rooms[spec.team].cpus += spec.cpus
-                    rooms[spec.team].cards += spec.cards
+                    allowances[spec.team].cpus += spec.cpus
+                    allowances[spec.team].cards += spec.cards
                 elif (
                     not allocation.job.urgent
                     and allocation.state is not AllocationState.SAVING
                     and not (len(allocation.job.live) == 1 and _unbegun(allocation.job, now))
                 ):
                     held.append(
-                        Victim(
+                        PreemptionCandidate(
                             allocation.attempt,
                             machine.name,
                             spec.team,
@@ -285,13 +293,13 @@
                             allocation.job.rank,
                         )
                     )
-        place(wants, slots.values(), rooms)
-        for want in wants[:MOST_PREEMPTING]:
-            if want.count <= 0:
+        place(requests, slots.values(), allowances)
+        for request in requests[:MOST_PREEMPTING]:
+            if request.count <= 0:
                 continue
-            for victim in preempt(want, slots, victims, rooms[want.team]):
-                allocation = self._cluster.machines[victim.machine].allocations[victim.attempt]
-                log.debug("%s/%s gives way to %s", allocation.job.id, allocation.task, want.job)
+            for candidate in preempt(request, slots, candidates, allowances[request.team]):
+                allocation = self._cluster.machines[candidate.machine].allocations[candidate.attempt]
+                log.debug("%s/%s gives way to %s", allocation.job.id, allocation.task, request.job)
                 allocation.stop = Stop.SAVE
 
     def _loss(self, allocation: Allocation, now: timedelta) -> timedelta:
@@ -323,17 +331,20 @@
 
     def has_room(self, allocation: Allocation) -> bool:
         """Another machine has room for the task, once it is off this one."""
-        want = self.want_of(allocation.job)
+        request = self.request_of(allocation.job)
         zone = allocation.machine.zone
-        if zone in want.zones:
-            want.zones[zone] -= 1
+        if zone in request.zones:
+            request.zones[zone] -= 1
         return any(
-            fits(want, _slot(machine, self._cluster), Room())
+            fits(request, _slot(machine, self._cluster), TeamAllowance())
             for machine in self._cluster.up()
-            if machine.open and not machine.fading and machine is not allocation.machine and machine.free >= want.cpus
+            if machine.open
+            and not machine.fading
+            and machine is not allocation.machine
+            and machine.free >= request.cpus
         )
 
-    def want_of(self, job: Job) -> Want:
+    def request_of(self, job: Job) -> TaskRequest:
         """One task of the job, whether any waits or not."""
         return self._want(job, (), 1)
 
@@ -348,18 +359,18 @@
     return not job.count_done and now - job.since > BEGIN
 
 
-def _split(want: Want, count: int, order: tuple[float, ...]) -> Want:
+def _split(request: TaskRequest, count: int, order: tuple[float, ...]) -> TaskRequest:
     """Moves `count` of the tasks to another place in the order; the zones stay shared."""
-    want.count -= count
-    return replace(want, order=order, count=count)
+    request.count -= count
+    return replace(request, order=order, count=count)
 
 
 # An allocation in one of these states has its image fetched still.
 _COMING = frozenset({AllocationState.PLANNED, AllocationState.READY, AllocationState.FETCHING})
 
 
-def _slot(machine: Machine, cluster: ClusterState) -> Slot:
-    return Slot(
+def _slot(machine: Machine, cluster: ClusterState) -> FreeCapacity:
+    return FreeCapacity(
         name=machine.name,
         build=machine.build,
         zone=machine.zone,
@@ -380,7 +391,7 @@
     )
 
 
-def may_ever_run(job: Want, limit: Team, types: list[tuple[str, float, float, float, list[str]]]) -> str | None:
+def may_ever_run(job: TaskRequest, limit: Team, types: list[tuple[str, float, float, float, list[str]]]) -> str | None:
     """Why the job can never run, or None; `count` of its tasks must be able to run at once.
 
     `types`: name, cpus, cards, memory, zones.
--- a/src/elmthread/placement/tests/plain.py
+++ b/src/elmthread/placement/tests/plain.py
@@ -5,104 +5,113 @@
 from elmthread.placement.decide import (
     FETCH_COST,
     TINY,
-    Room,
-    Slot,
-    Victim,
-    Want,
+    FreeCapacity,
+    PreemptionCandidate,
+    TaskRequest,
+    TeamAllowance,
     allowed,
-    dearness,
     enough,
     fits,
     keep_for,
+    price_penalty,
     take,
     way_to_image,
 )
 
 
-def preference(want: Want, slot: Slot, cheapest: float) -> tuple[bool, float, float, str]:
+def preference(request: TaskRequest, slot: FreeCapacity, cheapest: float) -> tuple[bool, float, float, str]:
     """Small is better: machines that are to empty come last; then the time to fetch the
     image and the price; full machines first.
     """
-    fetch = FETCH_COST[way_to_image(want, slot)] * want.image_gb / slot.fetch_rate
-    return (slot.fading, fetch + dearness(want, slot.price, cheapest), slot.cpus, slot.name)
+    fetch = FETCH_COST[way_to_image(request, slot)] * request.image_gb / slot.fetch_rate
+    return (slot.fading, fetch + price_penalty(request, slot.price, cheapest), slot.cpus, slot.name)
 
 
-def place(wants: list[Want], slots: list[Slot], rooms: dict[str, Room]) -> list[tuple[Want, Slot, int]]:
-    """Gives tasks to machines in the order of `wants`; slots, rooms and wants are used up."""
-    placed: list[tuple[Want, Slot, int]] = []
+def place(
+    requests: list[TaskRequest], slots: list[FreeCapacity], allowances: dict[str, TeamAllowance]
+) -> list[tuple[TaskRequest, FreeCapacity, int]]:
+    """Gives tasks to machines in the order of `requests`; slots, allowances and requests are used up."""
+    placed: list[tuple[TaskRequest, FreeCapacity, int]] = []
     cheapest = min((slot.price for slot in slots), default=0.0)
     open_slots = [slot for slot in slots if slot.cpus > TINY]
-    for want in wants:
-        room = rooms.setdefault(want.team, Room())
-        if want.count <= 0:
+    for request in requests:
+        allowance = allowances.setdefault(request.team, TeamAllowance())
+        if request.count <= 0:
             continue
-        if room.cpus + TINY < want.cpus:
-            if want.urgent:
-                keep_for(room)
+        if allowance.cpus + TINY < request.cpus:
+            if request.urgent:
+                keep_for(allowance)
             continue
         # Replicas stand apart as long as there is room for that, and wherever there is any after that.
         for apart in (True, False):
-            choice = [slot for slot in open_slots if fits(want, slot, room, apart)]
-            choice.sort(key=lambda slot: preference(want, slot, cheapest))
+            choice = [slot for slot in open_slots if fits(request, slot, allowance, apart)]
+            choice.sort(key=lambda slot: preference(request, slot, cheapest))
             for slot in choice:
-                count = fits(want, slot, room, apart)
+                count = fits(request, slot, allowance, apart)
                 if count <= 0:
                     continue
-                take(want, slot, room, count)
-                placed.append((want, slot, count))
-        if want.urgent and want.count > 0 and room.cpus + TINY < want.cpus:
-            keep_for(room)
+                take(request, slot, allowance, count)
+                placed.append((request, slot, count))
+        if request.urgent and request.count > 0 and allowance.cpus + TINY < request.cpus:
+            keep_for(allowance)
         open_slots = [slot for slot in open_slots if slot.cpus > TINY]
     return placed
 
 
-def preempt(want: Want, slots: dict[str, Slot], victims: list[Victim], room: Room) -> list[Victim]:
-    """The tasks to stop so that `want` gets room: those that lose least for the room they give.
+def preempt(
+    request: TaskRequest,
+    slots: dict[str, FreeCapacity],
+    candidates: list[PreemptionCandidate],
+    allowance: TeamAllowance,
+) -> list[PreemptionCandidate]:
+    """The tasks to stop so that `request` gets room: those that lose least for the room they give.
 
     `slots` counts room that is already being freed. Each machine is filled as far as its
     victims allow; machines where the loss for each task gained is least come first.
     """
-    chosen: list[Victim] = []
-    by_machine: dict[str, list[Victim]] = {}
-    for victim in victims:
-        by_machine.setdefault(victim.machine, []).append(victim)
+    chosen: list[PreemptionCandidate] = []
+    by_machine: dict[str, list[PreemptionCandidate]] = {}
+    for candidate in candidates:
+        by_machine.setdefault(candidate.machine, []).append(candidate)
     # A team at its limit makes room for its urgent work itself, wherever its tasks run.
-    own = sorted((victim for victim in victims if victim.team == want.team), key=lambda victim: victim.loss)
-    while own and room.cpus + TINY < want.count * want.cpus:
-        victim = own.pop(0)
-        by_machine[victim.machine].remove(victim)
-        room.cpus += victim.cpus
-        room.cards += victim.cards
-        slot = slots.get(victim.machine)
+    own = sorted(
+        (candidate for candidate in candidates if candidate.team == request.team), key=lambda candidate: candidate.loss
+    )
+    while own and allowance.cpus + TINY < request.count * request.cpus:
+        candidate = own.pop(0)
+        by_machine[candidate.machine].remove(candidate)
+        allowance.cpus += candidate.cpus
+        allowance.cards += candidate.cards
+        slot = slots.get(candidate.machine)
         if slot is not None:
-            slot.cpus += victim.cpus
-            slot.cards += victim.cards
-            slot.ram += victim.ram
-        chosen.append(victim)
+            slot.cpus += candidate.cpus
+            slot.cards += candidate.cards
+            slot.ram += candidate.ram
+        chosen.append(candidate)
     if chosen:
-        place([want], list(slots.values()), {want.team: room})
-    while want.count > 0 and room.cpus + TINY >= want.cpus:
-        best: tuple[float, list[Victim], Slot] | None = None
+        place([request], list(slots.values()), {request.team: allowance})
+    while request.count > 0 and allowance.cpus + TINY >= request.cpus:
+        best: tuple[float, list[PreemptionCandidate], FreeCapacity] | None = None
         for name, held in by_machine.items():
             slot = slots.get(name)
-            if slot is None or name in want.avoid or not allowed(want, slot.build, slot.zone, slot.spot):
+            if slot is None or name in request.avoid or not allowed(request, slot.build, slot.zone, slot.spot):
                 continue
-            if want.zone_most < math.inf and want.zones.get(slot.zone, 0) >= want.zone_most:
+            if request.zone_most < math.inf and request.zones.get(slot.zone, 0) >= request.zone_most:
                 continue
-            some = enough(want, slot, held)
+            some = enough(request, slot, held)
             if some is None:
                 continue
-            loss = sum(victim.loss.total_seconds() * victim.cpus for victim in some)
+            loss = sum(candidate.loss.total_seconds() * candidate.cpus for candidate in some)
             if best is None or loss < best[0]:
                 best = (loss, some, slot)
         if best is None:
             break
         _, some, slot = best
-        for victim in some:
-            by_machine[slot.name].remove(victim)
-            slot.cpus += victim.cpus
-            slot.cards += victim.cards
-            slot.ram += victim.ram
+        for candidate in some:
+            by_machine[slot.name].remove(candidate)
+            slot.cpus += candidate.cpus
+            slot.cards += candidate.cards
+            slot.ram += candidate.ram
         chosen += some
-        take(want, slot, room, 1)
+        take(request, slot, allowance, 1)
     return chosen
--- a/src/elmthread/placement/tests/test_decide.py
+++ b/src/elmthread/placement/tests/test_decide.py
@@ -8,14 +8,22 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from elmthread.placement.decide import Room, Slot, Victim, Want, allowed, place, preempt
+from elmthread.placement.decide import (
+    FreeCapacity,
+    PreemptionCandidate,
+    TaskRequest,
+    TeamAllowance,
+    allowed,
+    place,
+    preempt,
+)
 from elmthread.placement.tests import plain
 
 steady = settings(max_examples=150, deadline=None, derandomize=True, database=None)
 
 slots = st.lists(
     st.builds(
-        Slot,
+        FreeCapacity,
         name=st.sampled_from("abcdefgh"),
         build=st.sampled_from(["s", "l"]),
         zone=st.sampled_from(["x", "y"]),
@@ -27,9 +35,9 @@
     max_size=5,
     unique_by=lambda slot: slot.name,
 )
-wants = st.lists(
+requests = st.lists(
     st.builds(
-        Want,
+        TaskRequest,
         job=st.sampled_from(["j1", "j2", "j3", "j4"]),
         team=st.sampled_from(["t1", "t2"]),
         order=st.tuples(st.integers(0, 3).map(float)),
@@ -46,92 +54,95 @@
         urgent=st.booleans(),
     ),
     max_size=4,
-    unique_by=lambda want: want.job,
+    unique_by=lambda request: request.job,
 )
 
 
 @steady
-@given(slots, wants, st.integers(0, 8))
+@given(slots, requests, st.integers(0, 8))
 def test_placement_keeps_every_bound_and_leaves_no_room_unused(
-    machines: list[Slot], jobs: list[Want], limit: int
+    machines: list[FreeCapacity], jobs: list[TaskRequest], limit: int
 ) -> None:
-    jobs.sort(key=lambda want: want.order)
+    jobs.sort(key=lambda request: request.order)
     before = {slot.name: (slot.cpus, slot.ram) for slot in machines}
-    counts = {want.job: want.count for want in jobs}
-    rooms = {"t1": Room(float(limit)), "t2": Room()}
-    placed = place(jobs, machines, rooms)
+    counts = {request.job: request.count for request in jobs}
+    allowances = {"t1": TeamAllowance(float(limit)), "t2": TeamAllowance()}
+    placed = place(jobs, machines, allowances)
     used: dict[str, float] = {}
     team = 0.0
     where: dict[str, list[str]] = {}
-    for want, slot, count in placed:
+    for request, slot, count in placed:
         assert count > 0
-        used[slot.name] = used.get(slot.name, 0.0) + count * want.cpus
-        team += count * want.cpus if want.team == "t1" else 0.0
-        where.setdefault(want.job, []).extend([slot.zone] * count)
-        assert (want.types is None or slot.build in want.types) and (want.zone in (None, slot.zone))
-        assert want.spot or not slot.spot
+        used[slot.name] = used.get(slot.name, 0.0) + count * request.cpus
+        team += count * request.cpus if request.team == "t1" else 0.0
+        where.setdefault(request.job, []).extend([slot.zone] * count)
+        assert (request.types is None or slot.build in request.types) and (request.zone in (None, slot.zone))
+        assert request.spot or not slot.spot
     assert team <= limit
     for name, cpus in used.items():
         assert cpus <= before[name][0]
-    for want in jobs:
-        zones = where.get(want.job, [])
-        assert len(zones) <= counts[want.job]
-        if want.one_zone:
+    for request in jobs:
+        zones = where.get(request.job, [])
+        assert len(zones) <= counts[request.job]
+        if request.one_zone:
             assert len(set(zones)) <= 1
-        if want.zone_most < math.inf:
-            assert all(zones.count(zone) <= want.zone_most for zone in zones)
+        if request.zone_most < math.inf:
+            assert all(zones.count(zone) <= request.zone_most for zone in zones)
     # Nothing that waits could still be put anywhere, unless room is kept for urgent work.
-    kept = any(want.urgent and want.count for want in jobs)
-    for want in jobs:
-        if want.count and not kept:
+    kept = any(request.urgent and request.count for request in jobs)
+    for request in jobs:
+        if request.count and not kept:
             for slot in machines:
                 fits = (
-                    slot.cpus >= want.cpus
-                    and slot.ram >= want.ram
-                    and rooms[want.team].cpus >= want.cpus
-                    and allowed(want, slot.build, slot.zone, slot.spot)
-                    and want.zones.get(slot.zone, 0) < want.zone_most
+                    slot.cpus >= request.cpus
+                    and slot.ram >= request.ram
+                    and allowances[request.team].cpus >= request.cpus
+                    and allowed(request, slot.build, slot.zone, slot.spot)
+                    and request.zones.get(slot.zone, 0) < request.zone_most
                 )
                 assert not fits
 
 
-def want(job: str, count: int, cpus: float, team: str = "t", urgent: bool = False) -> Want:
-    return Want(job=job, team=team, order=(0.0,), count=count, cpus=cpus, cards=0.0, ram=0.1, urgent=urgent)
+def request(job: str, count: int, cpus: float, team: str = "t", urgent: bool = False) -> TaskRequest:
+    return TaskRequest(job=job, team=team, order=(0.0,), count=count, cpus=cpus, cards=0.0, ram=0.1, urgent=urgent)
 
 
 def test_room_under_a_limit_gathers_for_urgent_work() -> None:
     """One core at a time came free and went to one-core tasks, so the two-core urgent one starved."""
-    slot = Slot("m", "s", "x", False, cpus=8.0, cards=0.0, ram=8.0)
-    rooms = {"t": Room(1.0)}
-    urgent, other = want("u", 1, 2.0, urgent=True), want("o", 5, 1.0)
-    assert place([urgent, other], [slot], rooms) == []
+    slot = FreeCapacity("m", "s", "x", False, cpus=8.0, cards=0.0, ram=8.0)
+    allowances = {"t": TeamAllowance(1.0)}
+    urgent, other = request("u", 1, 2.0, urgent=True), request("o", 5, 1.0)
+    assert place([urgent, other], [slot], allowances) == []
 
 
 def test_team_at_its_limit_makes_room_itself() -> None:
-    slots = {"m": Slot("m", "s", "x", False, cpus=8.0, cards=0.0, ram=8.0)}
-    victims = [Victim(n, "m", team, 1.0, 0.0, 0.1) for n, team in enumerate(["t", "v", "t", "t"])]
-    chosen = preempt(want("u", 1, 2.0, urgent=True), slots, {"m": victims}, Room(0.0))
-    assert [victim.team for victim in chosen] == ["t", "t"]
+    slots = {"m": FreeCapacity("m", "s", "x", False, cpus=8.0, cards=0.0, ram=8.0)}
+    candidates = [PreemptionCandidate(n, "m", team, 1.0, 0.0, 0.1) for n, team in enumerate(["t", "v", "t", "t"])]
+    chosen = preempt(request("u", 1, 2.0, urgent=True), slots, {"m": candidates}, TeamAllowance(0.0))
+    assert [candidate.team for candidate in chosen] == ["t", "t"]
 
 
 @steady
 @given(st.lists(st.tuples(st.integers(1, 3), st.integers(0, 9)), max_size=6), st.integers(0, 3), st.integers(1, 4))
 def test_preemption_frees_enough_and_nothing_needless(held: list[tuple[int, int]], free: int, need: int) -> None:
-    victims = [
-        Victim(n, "m", "other", float(cpus), 0.0, 0.0, timedelta(seconds=loss)) for n, (cpus, loss) in enumerate(held)
+    candidates = [
+        PreemptionCandidate(n, "m", "other", float(cpus), 0.0, 0.0, timedelta(seconds=loss))
+        for n, (cpus, loss) in enumerate(held)
     ]
-    slot = Slot("m", "s", "x", False, cpus=float(free), cards=0.0, ram=9.0)
-    chosen = preempt(want("u", 1, float(need)), {"m": slot}, {"m": list(victims)}, Room())
+    slot = FreeCapacity("m", "s", "x", False, cpus=float(free), cards=0.0, ram=9.0)
+    chosen = preempt(request("u", 1, float(need)), {"m": slot}, {"m": list(candidates)}, TeamAllowance())
     if free + sum(cpus for cpus, _ in held) < need or free >= need:
         assert chosen == []
     else:
-        freed = free + sum(victim.cpus for victim in chosen)
+        freed = free + sum(candidate.cpus for candidate in chosen)
         assert freed >= need
         # The last one chosen was still needed.
         assert freed - chosen[-1].cpus < need
 
 
-def crowd(rng: random.Random, machines: int, jobs: int) -> tuple[list[Want], list[Slot], dict[str, Room]]:
+def crowd(
+    rng: random.Random, machines: int, jobs: int
+) -> tuple[list[TaskRequest], list[FreeCapacity], dict[str, TeamAllowance]]:
     """A cluster of three types in some zones, some machines full, some with images, and many jobs."""
     kinds = [("s", 4.0, 0.025, 0.2), ("m", 8.0, 0.031, 0.5), ("l", 64.0, 0.04, 0.6)]
     slots = []
@@ -139,7 +150,7 @@
         build, cores, price, rate = rng.choices(kinds, [6, 3, 1])[0]
         spot = rng.random() < 0.8
         slots.append(
-            Slot(
+            FreeCapacity(
                 name=f"m-{number}",
                 build=build,
                 zone=rng.choice("xyz"),
@@ -155,11 +166,11 @@
                 fading=rng.random() < 0.1,
             )
         )
-    wants = []
+    requests = []
     for number in range(jobs):
         urgent = rng.random() < 0.5
-        wants.append(
-            Want(
+        requests.append(
+            TaskRequest(
                 job=f"j{number}",
                 team=rng.choice(["t1", "t2", "t3"]),
                 order=(0.0 if urgent else 1.0, float(number)),
@@ -181,8 +192,8 @@
                 machines={"m-1": 1},
             )
         )
-    wants.sort(key=lambda want: want.order)
-    return wants, slots, {"t1": Room(300.0), "t2": Room(90.0), "t3": Room()}
+    requests.sort(key=lambda request: request.order)
+    return requests, slots, {"t1": TeamAllowance(300.0), "t2": TeamAllowance(90.0), "t3": TeamAllowance()}
 
 
 def test_shelves_place_as_the_plain_way_does() -> None:
@@ -192,17 +203,17 @@
         start = {slot.name: copy.deepcopy(slot) for slot in one[1]}
         found, expected = place(*one), plain.place(*other)
 
-        def worth(placed: list[tuple[Want, Slot, int]]) -> dict[str, list[tuple[object, ...]]]:
+        def worth(placed: list[tuple[TaskRequest, FreeCapacity, int]]) -> dict[str, list[tuple[object, ...]]]:
             kept: dict[str, list[tuple[object, ...]]] = {}
-            for want, slot, count in placed:
+            for request, slot, count in placed:
                 # Machines equally good but for their zone may come in any order.
-                kind = plain.preference(want, start[slot.name], cheapest)[:2]  # noqa: B023
-                kept.setdefault(want.job, []).extend([kind] * count)
+                kind = plain.preference(request, start[slot.name], cheapest)[:2]  # noqa: B023
+                kept.setdefault(request.job, []).extend([kind] * count)
             return {job: sorted(kinds) for job, kinds in kept.items()}
 
-        assert [want.count for want in one[0]] == [want.count for want in other[0]]
+        assert [request.count for request in one[0]] == [request.count for request in other[0]]
         assert worth(found) == worth(expected)
-        assert {team: room.cpus for team, room in one[2].items()} == {t: r.cpus for t, r in other[2].items()}
+        assert {team: allowance.cpus for team, allowance in one[2].items()} == {t: r.cpus for t, r in other[2].items()}
 
 
 def test_preemption_stops_what_the_plain_way_stops() -> None:
@@ -211,36 +222,38 @@
         for way in (preempt, plain.preempt):
             rng = random.Random(seed)
             _, slots, _ = crowd(rng, 30, 0)
-            victims = [
-                Victim(n, rng.choice(slots).name, rng.choice(["t1", "t2"]), 1.0, 0.0, 1.0, timedelta(rng.random()))
+            candidates = [
+                PreemptionCandidate(
+                    n, rng.choice(slots).name, rng.choice(["t1", "t2"]), 1.0, 0.0, 1.0, timedelta(rng.random())
+                )
                 for n in range(150)
             ]
-            need = want("u", rng.randint(1, 40), 2.0, team="t1", urgent=True)
+            need = request("u", rng.randint(1, 40), 2.0, team="t1", urgent=True)
             by_name = {slot.name: slot for slot in slots}
             if way is preempt:
-                held: dict[str, list[Victim]] = {}
-                for victim in victims:
-                    held.setdefault(victim.machine, []).append(victim)
-                chosen = preempt(need, by_name, held, Room(rng.choice([4.0, 500.0])))
+                held: dict[str, list[PreemptionCandidate]] = {}
+                for candidate in candidates:
+                    held.setdefault(candidate.machine, []).append(candidate)
+                chosen = preempt(need, by_name, held, TeamAllowance(rng.choice([4.0, 500.0])))
             else:
-                chosen = plain.preempt(need, by_name, victims, Room(rng.choice([4.0, 500.0])))
-            outcomes.append((sorted(victim.attempt for victim in chosen), need.count))
+                chosen = plain.preempt(need, by_name, candidates, TeamAllowance(rng.choice([4.0, 500.0])))
+            outcomes.append((sorted(candidate.attempt for candidate in chosen), need.count))
         assert outcomes[0] == outcomes[1]
 
 
 def test_the_work_of_a_round_does_not_grow_with_machines_times_jobs() -> None:
     """Counted in looks at a machine's room: each job looks at about what it takes, not at all machines."""
     looks = 0
-    wants, slots, rooms = crowd(random.Random(1), 600, 300)
+    requests, slots, allowances = crowd(random.Random(1), 600, 300)
 
-    class Counted(Slot):
+    class Counted(FreeCapacity):
         def __getattribute__(self, name: str) -> object:
             nonlocal looks
             looks += name == "images"
             return super().__getattribute__(name)
 
-    counted = [Counted(**{name: getattr(slot, name) for name in Slot.__slots__}) for slot in slots]
-    placed = place(wants, counted, rooms)
+    counted = [Counted(**{name: getattr(slot, name) for name in FreeCapacity.__slots__}) for slot in slots]
+    placed = place(requests, counted, allowances)
     assert sum(count for _, _, count in placed) > 1000
     assert looks < 300 * 600 / 8, looks
 
@@ -248,9 +261,9 @@
 def test_only_work_of_lower_priority_gives_way() -> None:
     """A service of a low priority is urgent, but takes no room from what is as important."""
     for rank, others in ((0, [1, 2, 3]), (2, [3]), (3, [])):
-        held = [Victim(n, "m", "other", 2.0, 0.0, 0.0, timedelta(seconds=n), n) for n in range(1, 4)]
-        slot = Slot("m", "s", "x", False, cpus=0.0, cards=0.0, ram=9.0)
-        need = want("u", 3, 2.0, urgent=True)
+        held = [PreemptionCandidate(n, "m", "other", 2.0, 0.0, 0.0, timedelta(seconds=n), n) for n in range(1, 4)]
+        slot = FreeCapacity("m", "s", "x", False, cpus=0.0, cards=0.0, ram=9.0)
+        need = request("u", 3, 2.0, urgent=True)
         need.rank = rank
-        chosen = preempt(need, {"m": slot}, {"m": held}, Room())
-        assert sorted(victim.rank for victim in chosen) == others
+        chosen = preempt(need, {"m": slot}, {"m": held}, TeamAllowance())
+        assert sorted(candidate.rank for candidate in chosen) == others
--- a/src/elmthread/placement/tests/test_order.py
+++ b/src/elmthread/placement/tests/test_order.py
@@ -60,38 +60,38 @@
 def test_order_is_the_plain_one_and_lets_everybody_begin() -> None:
     for seed in range(200):
         cluster, placement = make_cluster(random.Random(seed))
-        wants = placement.wants(NOW)
+        requests = placement.requests(NOW)
         waiting = Counter({job.id: len(job.pending) for job in cluster.open_jobs.values() if job.pending})
         given: Counter[str] = Counter()
-        for want in wants:
-            assert want.count >= 0
-            given[want.job] += want.count
+        for request in requests:
+            assert request.count >= 0
+            given[request.job] += request.count
         # Every waiting task stands in the order once.
         assert given == waiting
         places: dict[str, list[int]] = {}
-        for place, want in enumerate(wants):
-            if want.count:
-                places.setdefault(want.job, []).append(place)
+        for place, request in enumerate(requests):
+            if request.count:
+                places.setdefault(request.job, []).append(place)
         for job_id, where in places.items():
             job = cluster.jobs[job_id]
             waited = NOW - job.since
             begun = bool(job.live or job.count_done)
-            first = wants[where[0]]
+            first = requests[where[0]]
             if waited > BEGIN and not begun:
                 # Nothing that has begun, or came later than BEGIN, stands before it.
                 assert first.count == 1
-                for want in wants[: where[0]]:
-                    other = cluster.jobs[want.job]
-                    assert not want.count or (NOW - other.since > BEGIN and not other.live and not other.count_done)
+                for request in requests[: where[0]]:
+                    other = cluster.jobs[request.job]
+                    assert not request.count or (NOW - other.since > BEGIN and not other.live and not other.count_done)
             elif job.urgent:
-                for want in wants[: where[0]]:
-                    other = cluster.jobs[want.job]
+                for request in requests[: where[0]]:
+                    other = cluster.jobs[request.job]
                     old = NOW - other.since > BEGIN and not other.live and not other.count_done
-                    assert not want.count or other.urgent or (old and want.count == 1)
+                    assert not request.count or other.urgent or (old and request.count == 1)
         # Otherwise: urgent by rank and deadline, then what fits a guarantee, then by deadline.
-        assert [want.order for want in wants] == sorted(want.order for want in wants)
+        assert [request.order for request in requests] == sorted(request.order for request in requests)
         # Jobs put off that go in turn all the same share a part of the cores.
         cores = sum(machine.cpus for machine in cluster.machines.values())
-        put_off = {want.job for want in wants if want.order[:2] == (1.0, 2.0)}
-        turns = [want for want in wants if want.job in put_off and want.order[:2] == (1.0, 1.0)]
-        assert sum(want.count * want.cpus for want in turns) <= PART * cores
+        put_off = {request.job for request in requests if request.order[:2] == (1.0, 2.0)}
+        turns = [request for request in requests if request.job in put_off and request.order[:2] == (1.0, 1.0)]
+        assert sum(request.count * request.cpus for request in turns) <= PART * cores
--- a/src/elmthread/reachability/service.py
+++ b/src/elmthread/reachability/service.py
@@ -99,9 +99,9 @@
         """Whether all controllers tell one another their views."""
         return self._features.is_active(Feature.LINK_VIEWS)
 
-    def turn_away(self, request: Request, leader: str | None, token: int) -> Response:
+    def redirect(self, request: Request, leader: str | None, token: int) -> Response:
         """The answer to a report that came here, though this node does not lead."""
-        response = self.strays.turn_away(request, leader, token)
+        response = self.strays.redirect(request, leader, token)
         if self.views_active and self.strays.worth_telling():
             self.peers.tell()
         return response
--- a/src/elmthread/reachability/strays.py
+++ b/src/elmthread/reachability/strays.py
@@ -46,7 +46,7 @@
         # By node: how many came to it, some of them, the leadership that they missed, and when it said so.
         self._told: dict[str, tuple[int, list[Stray], int, timedelta]] = {}
 
-    def turn_away(self, request: Request, leader: str | None, token: int) -> Response:
+    def redirect(self, request: Request, leader: str | None, token: int) -> Response:
         """A report that came here, though this node does not lead.
 
         A machine that has seen the leadership that we know of comes from that leader, which it
--- a/src/elmthread/reachability/tests/test_strays.py
+++ b/src/elmthread/reachability/tests/test_strays.py
@@ -29,7 +29,7 @@
 
     def comes(machine: str, token: int, leader: str | None = "a") -> object:
         body = {"loom": machine, "baton": token, "shift": 1, "tally": next(count)}
-        return reach.turn_away(Request("POST", "/", {}, cbor2.dumps(body)), leader, 9).body
+        return reach.redirect(Request("POST", "/", {}, cbor2.dumps(body)), leader, 9).body
 
     # One that has not seen this leadership is sent to it; of those that have, and come all the
     # same, one alone is sent back, and many go on to the next node.
@@ -38,7 +38,7 @@
     assert comes("m-1", 9) == {"foreman": "a"} and comes("m-1", 9) == {"foreman": "a"}
     assert comes("m-2", 9) == {} and comes("m-1", 9) == {} and comes("m-2", 9) == {}
     assert comes("m-3", 9, None) == {}
-    assert reach.turn_away(Request("POST", "/", {}, b"\xff"), "a", 9).body == {"foreman": "a"}
+    assert reach.redirect(Request("POST", "/", {}, b"\xff"), "a", 9).body == {"foreman": "a"}
     assert reach.strays(9) == (2, [("m-1", 1, 6), ("m-2", 1, 7)])
     # Of an earlier leadership it says nothing.
     assert reach.strays(10) == (0, [])
@@ -53,7 +53,7 @@
 
     def comes(machine: str) -> object:
         body = {"loom": machine, "baton": 9, "shift": 1, "tally": 1}
-        return reach.turn_away(Request("POST", "/", {}, cbor2.dumps(body)), "a", 9).body
+        return reach.redirect(Request("POST", "/", {}, cbor2.dumps(body)), "a", 9).body
 
     assert comes("m-1") == {"foreman": "a"} and comes("m-1") == {"foreman": "a"} and comes("m-2") == {}
 
--- a/src/elmthread/sizing/decide.py
+++ b/src/elmthread/sizing/decide.py
@@ -238,7 +238,7 @@
     own: float
 
 
-def forsaken(lines: Sequence[Line], cores: float, ahead: float = 0.0) -> set[str]:
+def jobs_to_put_off(lines: Sequence[Line], cores: float, ahead: float = 0.0) -> set[str]:
     """The jobs to put last so that the most others end in time, on `cores` shared by all.
 
     `ahead` core-seconds of other work come first.
--- a/src/elmthread/sizing/service.py
+++ b/src/elmthread/sizing/service.py
@@ -11,7 +11,7 @@
 from elmthread.common.clock import Clock, seconds
 from elmthread.fleet.service import Fleet, Kind
 from elmthread.placement.cluster import Allocation, ClusterState, Job, Machine, MachineState, Stop
-from elmthread.placement.decide import Room, Slot, Want, allowed
+from elmthread.placement.decide import FreeCapacity, TaskRequest, TeamAllowance, allowed
 from elmthread.placement.service import Placement
 from elmthread.settings.operators import Operators
 from elmthread.sizing.decide import Band, Group, Offer, Supply, band, dear, fewest, refill
@@ -78,17 +78,17 @@
         for machine in self._cluster.machines.values():
             if machine.serves(now):
                 self._serving.setdefault((machine.build, machine.zone, machine.spot), []).append(machine)
-        wants = self._placement.wants(now)
-        rooms = self._placement.rooms()
-        self._for_services(wants, now)
-        self._for_groups(wants, rooms, now)
-        urgent = self._urgent(wants, rooms)
-        self._for_band(wants, urgent, now)
-        self._fade(wants, rooms, urgent, now)
+        requests = self._placement.requests(now)
+        allowances = self._placement.allowances()
+        self._for_services(requests, now)
+        self._for_groups(requests, allowances, now)
+        urgent = self._urgent(requests, allowances)
+        self._for_band(requests, urgent, now)
+        self._fade(requests, allowances, urgent, now)
 
     # Services
 
-    def _for_services(self, wants: list[Want], now: timedelta) -> None:
+    def _for_services(self, requests: list[TaskRequest], now: timedelta) -> None:
         """Replicas get machines that they may use: what fits nowhere, and a band of their own.
 
         An exception to the design, whose band counts cores of every kind: replicas that may
@@ -104,17 +104,17 @@
             return
         # A service that fails wherever it is tried would avoid, and so rent, machine after machine.
         waiting = [
-            replace(want, avoid=()) if job.backoff else want
-            for want in wants
-            if (job := self._cluster.jobs[want.job]).daemon
+            replace(request, avoid=()) if job.backoff else request
+            for request in requests
+            if (job := self._cluster.jobs[request.job]).daemon
         ]
-        rooms = self._placement.rooms()
+        allowances = self._placement.allowances()
         # One more like the largest there is must find room at once, spread as it may have to be.
         largest = max(daemons, key=lambda job: (not job.spec.spot, job.total * job.spec.cpus))
-        next_one = replace(self._placement.want_of(largest), count=largest.total, zones={}, machines={}, avoid=())
-        left = unplaced([*waiting, next_one], self._soon_room([*waiting, next_one], now), rooms)
+        next_one = replace(self._placement.request_of(largest), count=largest.total, zones={}, machines={}, avoid=())
+        left = unplaced([*waiting, next_one], self._soon_room([*waiting, next_one], now), allowances)
         if left:
-            self._order(machines_for(left, self._offers(left), rooms, MOST_AT_ONCE), pool=False)
+            self._order(machines_for(left, self._offers(left), allowances, MOST_AT_ONCE), pool=False)
         # The band, over the machines of the kind that the most demanding of them may use.
         demanding = [job for job in daemons if not job.spec.spot]
         firm = [m for m in self._cluster.machines.values() if not m.spot and m.serves(now)]
@@ -125,13 +125,13 @@
             if not order.kind.spot and (kind := self._fleet.types.get(order.kind.build)) is not None
         )
         booked = sum(m.standing_cpus for m in firm)
-        booked += _usable([want for want in waiting if not want.spot], self._placement.rooms())
+        booked += _usable([request for request in waiting if not request.spot], self._placement.allowances())
         theta, delta = self._operators.theta, self._operators.delta
         # What will be booked by the time a machine rented now is up.
         boot = seconds(max(kind.boot_s for kind in self._fleet.types.values()) * BOOT) + self._operators.check
         soon = booked + self._services.growth(now, booked) * boot.total_seconds()
         if demanding and (band(booked, for_replicas, theta, delta) is Band.RENT or soon > for_replicas):
-            offers = self._offers([self._placement.want_of(job) for job in demanding])
+            offers = self._offers([self._placement.request_of(job) for job in demanding])
             self._order(refill(offers, max(booked / theta, soon) - for_replicas, MOST_AT_ONCE), pool=False)
         # Those that hold replicas stay in any case, so their room comes first, then the cheapest.
         firm.sort(key=lambda m: (-m.standing_cpus, m.core_price, m.name))
@@ -140,15 +140,15 @@
         for machine in self._cluster.machines.values():
             machine.kept = machine.name in kept
 
-    def _soon_room(self, waiting: list[Want], now: timedelta) -> list[Slot]:
+    def _soon_room(self, waiting: list[TaskRequest], now: timedelta) -> list[FreeCapacity]:
         """Room that replicas have, or get once deferrable work has given way or machines are up."""
         slots = []
         for m in self._cluster.machines.values():
-            if not m.serves(now) or not any(allowed(want, m.build, m.zone, m.spot) for want in waiting):
+            if not m.serves(now) or not any(allowed(request, m.build, m.zone, m.spot) for request in waiting):
                 continue
             firm_part = m.urgent_cpus / m.cpus_used if m.cpus_used else 0.0
             slots.append(
-                Slot(
+                FreeCapacity(
                     m.name,
                     m.build,
                     m.zone,
@@ -163,54 +163,63 @@
             if kind is not None:
                 where = (order.kind.build, order.kind.zone, order.kind.spot)
                 slots += [
-                    Slot(f"{order.name}+{number}", *where, kind.cpus, kind.cards, kind.memory_gb)
+                    FreeCapacity(f"{order.name}+{number}", *where, kind.cpus, kind.cards, kind.memory_gb)
                     for number in range(order.count)
                 ]
         return slots
 
     # Deferrable pressure
 
-    def _for_groups(self, wants: list[Want], rooms: dict[str, Room], now: timedelta) -> None:
-        self._return_pool(wants, now)
+    def _for_groups(self, requests: list[TaskRequest], allowances: dict[str, TeamAllowance], now: timedelta) -> None:
+        self._return_pool(requests, now)
         # Cores count only for work that may use them: jobs are judged together with those
         # that allow the same machines. Otherwise cores of the wrong kind, or in pieces too
         # small for a task, would make a group look on time that can't start at all.
-        kinds: dict[tuple[Any, ...], list[Want]] = {}
-        for want in wants:
-            kinds.setdefault((want.types, want.zone, want.spot, want.cpus, want.cards), []).append(want)
-        alike: dict[tuple[Any, ...], list[Want]] = {}
-        first: list[tuple[set[str], list[Want]]] = []
+        kinds: dict[tuple[Any, ...], list[TaskRequest]] = {}
+        for request in requests:
+            kinds.setdefault((request.types, request.zone, request.spot, request.cpus, request.cards), []).append(
+                request
+            )
+        alike: dict[tuple[Any, ...], list[TaskRequest]] = {}
+        first: list[tuple[set[str], list[TaskRequest]]] = []
         for group in kinds.values():
             places = self._places(group[0])
             # Urgent work is the band's, unless nothing there is could take it at all; but it
             # goes ahead of what is judged here.
             # Replicas have room made for them apart, and no deadline to be judged by.
             waiting = [
-                want for want in group if not self._cluster.jobs[want.job].daemon and (not want.urgent or not places)
+                request
+                for request in group
+                if not self._cluster.jobs[request.job].daemon and (not request.urgent or not places)
             ]
             if waiting:
                 alike.setdefault(places, []).extend(waiting)
             if places:
-                first.append((set(places), [want for want in group if want.urgent]))
+                first.append((set(places), [request for request in group if request.urgent]))
         for places, together in alike.items():
             here = set(places)
-            urgent = [want for others, wants in first if not here.isdisjoint(others) for want in wants]
-            self._rent_for(together, urgent, here, rooms, now)
+            urgent = [request for others, requests in first if not here.isdisjoint(others) for request in requests]
+            self._rent_for(together, urgent, here, allowances, now)
 
-    def _places(self, want: Want) -> tuple[str, ...]:
+    def _places(self, request: TaskRequest) -> tuple[str, ...]:
         """The machines, up or coming, that could take the tasks at all."""
         return tuple(
             machine.name
             for kind, machines in self._serving.items()
-            if allowed(want, *kind)
-            and want.cpus <= machines[0].cpus
-            and want.cards <= machines[0].cards
-            and want.ram <= machines[0].ram
+            if allowed(request, *kind)
+            and request.cpus <= machines[0].cpus
+            and request.cards <= machines[0].cards
+            and request.ram <= machines[0].ram
             for machine in machines
         )
 
     def _rent_for(
-        self, waiting: list[Want], urgent: list[Want], places: set[str], rooms: dict[str, Room], now: timedelta
+        self,
+        waiting: list[TaskRequest],
+        urgent: list[TaskRequest],
+        places: set[str],
+        allowances: dict[str, TeamAllowance],
+        now: timedelta,
     ) -> None:
         offers = self._offers(waiting)
         if not offers:
@@ -221,14 +230,14 @@
         hard = not cheap and bool(places)
         offers = cheap or offers
         boot = min(offer.boot for offer in offers)
-        groups, usable = self._groups(waiting, rooms, now, boot, hard)
+        groups, usable = self._groups(waiting, allowances, now, boot, hard)
         supplies = self._supplies(places, waiting[0], now)
         busy, ahead = self._running(places, now)
-        for want in urgent:
-            job = self._cluster.jobs[want.job]
+        for request in urgent:
+            job = self._cluster.jobs[request.job]
             if not job.daemon:
-                ahead += want.count * want.cpus * self._each(job)
-        usable += _usable(urgent, rooms) + busy - sum(supply.cores for supply in supplies)
+                ahead += request.count * request.cpus * self._each(job)
+        usable += _usable(urgent, allowances) + busy - sum(supply.cores for supply in supplies)
         chosen = fewest(groups, supplies, ahead, offers, usable, MOST_AT_ONCE)
         if chosen:
             log.info(
@@ -248,20 +257,20 @@
             self._fleet.order(kind, count, pool)
 
     def _groups(
-        self, waiting: list[Want], rooms: dict[str, Room], now: timedelta, boot: float, hard: bool
+        self, waiting: list[TaskRequest], allowances: dict[str, TeamAllowance], now: timedelta, boot: float, hard: bool
     ) -> tuple[list[Group], float]:
         """Waiting deferrable tasks by deadline, and the cores they could use at once."""
         by_due: dict[int, Group] = {}
         team_cores: dict[str, float] = {}
-        for want in waiting:
-            job = self._cluster.jobs[want.job]
+        for request in waiting:
+            job = self._cluster.jobs[request.job]
             each = self._each(job)
-            room = max(0.0, rooms[want.team].cpus - team_cores.get(want.team, 0.0))
-            cores = min(room, want.count * want.cpus)
-            team_cores[want.team] = team_cores.get(want.team, 0.0) + cores
+            allowance = max(0.0, allowances[request.team].cpus - team_cores.get(request.team, 0.0))
+            cores = min(allowance, request.count * request.cpus)
+            team_cores[request.team] = team_cores.get(request.team, 0.0) + cores
             # A team at its limit still uses all of that as its running tasks end.
-            usable = max(min(self._placement.limit(want.team), want.count * want.cpus), want.cpus)
-            work = want.count * want.cpus * each
+            usable = max(min(self._placement.limit(request.team), request.count * request.cpus), request.cpus)
+            work = request.count * request.cpus * each
             due = (job.since + (job.latest if hard else job.aim * MARGIN) - now).total_seconds()
             soonest = boot + max(each, work / usable)
             if due < soonest:
@@ -276,7 +285,7 @@
             group.usable += usable
         return [by_due[key] for key in sorted(by_due)], sum(team_cores.values())
 
-    def _supplies(self, places: set[str], want: Want, now: timedelta) -> list[Supply]:
+    def _supplies(self, places: set[str], request: TaskRequest, now: timedelta) -> list[Supply]:
         supplies = []
         for machine in self._cluster.machines.values():
             if machine.name not in places:
@@ -292,7 +301,7 @@
                 supplies.append(Supply(float(max(1, round(kind.boot_s * BOOT - age))), machine.cpus))
         for order in self._fleet.orders.values():
             coming = self._fleet.types.get(order.kind.build)
-            if coming is not None and allowed(want, order.kind.build, order.kind.zone, order.kind.spot):
+            if coming is not None and allowed(request, order.kind.build, order.kind.zone, order.kind.spot):
                 supplies.append(Supply(coming.boot_s * BOOT, coming.cpus * order.count))
         return supplies
 
@@ -329,7 +338,7 @@
             each = self._whole[job.id] = self._expected(job).total_seconds()
         return each
 
-    def _offers(self, waiting: list[Want]) -> list[Offer]:
+    def _offers(self, waiting: list[TaskRequest]) -> list[Offer]:
         offers = []
         for kind in self._fleet.types.values():
             for zone in kind.zones:
@@ -337,11 +346,11 @@
                     if self._fleet.refused(Kind(kind.name, zone, spot)):
                         continue
                     if any(
-                        allowed(want, kind.name, zone, spot)
-                        and want.cpus <= kind.cpus
-                        and want.cards <= kind.cards
-                        and want.ram <= kind.memory_gb
-                        for want in waiting
+                        allowed(request, kind.name, zone, spot)
+                        and request.cpus <= kind.cpus
+                        and request.cards <= kind.cards
+                        and request.ram <= kind.memory_gb
+                        for request in waiting
                     ):
                         price = kind.spot_price if spot else kind.price
                         offers.append(
@@ -363,7 +372,9 @@
         cheapest = min(kind.spot_price / kind.cpus for kind in self._fleet.types.values() if kind.cpus)
         return [offer for offer in offers if not dear(offer, cheapest)]
 
-    def _fade(self, wants: list[Want], rooms: dict[str, Room], urgent: float, now: timedelta) -> None:
+    def _fade(
+        self, requests: list[TaskRequest], allowances: dict[str, TeamAllowance], urgent: float, now: timedelta
+    ) -> None:
         """Marks the machines that booked and waiting work can do without, the dearest first.
 
         They are given nothing new while others have room. Where all that is left on one saves
@@ -372,7 +383,7 @@
         """
         serving = [m for m in self._cluster.machines.values() if m.open]
         # What is on machines that will be taken needs room elsewhere in a moment.
-        demand = sum(m.cpus_used for m in self._cluster.up()) + _usable(wants, rooms)
+        demand = sum(m.cpus_used for m in self._cluster.up()) + _usable(requests, allowances)
         needed = max(demand * SLACK, urgent / max(self.theta - self._operators.delta, 0.05))
         spare = 0.0
         # Of equally dear machines the fuller are kept: the others are closer to being empty.
@@ -419,13 +430,13 @@
             for allocation in allocations:
                 allocation.stop = allocation.stop or Stop.SAVE
 
-    def _return_pool(self, wants: list[Want], now: timedelta) -> None:
+    def _return_pool(self, requests: list[TaskRequest], now: timedelta) -> None:
         """An idle deferrable pool goes back whole; what of a busy one stays empty goes singly.
 
         Singly is an exception to the design: one long task would else keep the whole pool.
         """
         pool = [m for m in self._cluster.machines.values() if m.pool and m.state is MachineState.UP]
-        whole = not any(not want.urgent for want in wants) and all(not m.allocations for m in pool)
+        whole = not any(not request.urgent for request in requests) and all(not m.allocations for m in pool)
         for machine in pool:
             patience = IDLE if whole else self._patience(machine)
             if (
@@ -449,12 +460,12 @@
 
     # Urgent pressure
 
-    def _urgent(self, wants: list[Want], rooms: dict[str, Room]) -> float:
+    def _urgent(self, requests: list[TaskRequest], allowances: dict[str, TeamAllowance]) -> float:
         """Urgent cores: booked, and waiting as far as teams' limits let them run."""
         booked = sum(machine.urgent_cpus for machine in self._cluster.machines.values())
-        return booked + _usable([want for want in wants if want.urgent], rooms)
+        return booked + _usable([request for request in requests if request.urgent], allowances)
 
-    def _for_band(self, wants: list[Want], urgent: float, now: timedelta) -> None:
+    def _for_band(self, requests: list[TaskRequest], urgent: float, now: timedelta) -> None:
         self._track(urgent, now)
         outside = [
             m
@@ -468,7 +479,7 @@
                 cores += kind.cpus * order.count
         match band(urgent, cores, self.theta, self._operators.delta):
             case Band.RENT:
-                self._rent_more(wants, urgent, cores)
+                self._rent_more(requests, urgent, cores)
             case Band.RETURN:
                 self._return_some(outside, urgent, cores, now)
             case Band.STAY:
@@ -484,13 +495,13 @@
             mean = sum(demand for _, demand in self._demand) / len(self._demand)
             self.theta = min(max(mean / peak, self._operators.theta), 0.9)
 
-    def _rent_more(self, wants: list[Want], urgent: float, cores: float) -> None:
+    def _rent_more(self, requests: list[TaskRequest], urgent: float, cores: float) -> None:
         """Brings the share back into the band with the fewest machines.
 
         Where only kinds are left that cost much more, a reserve over what is booked is not
         worth its price: urgent work can requeue deferrable work.
         """
-        offers = self._offers([want for want in wants if want.urgent] or wants)
+        offers = self._offers([request for request in requests if request.urgent] or requests)
         cheap = self._cheap(offers)
         self._order(refill(cheap or offers, urgent / (self.theta if cheap else 1.0) - cores, MOST_AT_ONCE), pool=False)
 
@@ -508,12 +519,12 @@
                 self._fleet.give_up(machine, "not needed")
 
 
-def _usable(wants: list[Want], rooms: dict[str, Room]) -> float:
+def _usable(requests: list[TaskRequest], allowances: dict[str, TeamAllowance]) -> float:
     """Cores that waiting tasks could use at once within their teams' limits."""
-    left = {name: room.cpus for name, room in rooms.items()}
+    left = {name: allowance.cpus for name, allowance in allowances.items()}
     total = 0.0
-    for want in wants:
-        cores = max(0.0, min(left[want.team], want.count * want.cpus))
-        left[want.team] -= cores
+    for request in requests:
+        cores = max(0.0, min(left[request.team], request.count * request.cpus))
+        left[request.team] -= cores
         total += cores
     return total
--- a/src/elmthread/sizing/services.py
+++ b/src/elmthread/sizing/services.py
@@ -12,7 +12,7 @@
 from datetime import timedelta
 
 from elmthread.common.clock import seconds
-from elmthread.placement.decide import TINY, Room, Slot, Want, allowed, place
+from elmthread.placement.decide import TINY, FreeCapacity, TaskRequest, TeamAllowance, allowed, place
 from elmthread.sizing.decide import Offer
 
 # How far back the growth of the demand of services is looked for, and the shortest rise judged.
@@ -36,48 +36,52 @@
         return (cores - low) / max(now - since, SHORTEST).total_seconds()
 
 
-def unplaced(wants: Iterable[Want], slots: Sequence[Slot], rooms: dict[str, Room]) -> list[Want]:
+def unplaced(
+    requests: Iterable[TaskRequest], slots: Sequence[FreeCapacity], allowances: dict[str, TeamAllowance]
+) -> list[TaskRequest]:
     """What is left of the tasks once `slots` (used up) are full, as far as limits let it run."""
-    left = [replace(want, zones=dict(want.zones), machines=dict(want.machines)) for want in wants]
-    place(left, slots, rooms)
-    return [want for want in left if want.count > 0 and rooms[want.team].cpus + TINY >= want.cpus]
+    left = [replace(request, zones=dict(request.zones), machines=dict(request.machines)) for request in requests]
+    place(left, slots, allowances)
+    return [request for request in left if request.count > 0 and allowances[request.team].cpus + TINY >= request.cpus]
 
 
-def machines_for(wants: Iterable[Want], offers: Sequence[Offer], rooms: dict[str, Room], most: int) -> list[Offer]:
+def machines_for(
+    requests: Iterable[TaskRequest], offers: Sequence[Offer], allowances: dict[str, TeamAllowance], most: int
+) -> list[Offer]:
     """Machines on which the tasks fit, zones and memory included; each is filled before the next.
 
     The zone with the fewest of a job's replicas comes first, there the cheapest core, and of
     equally cheap ones the largest machine, for the fewest.
     """
     chosen: list[Offer] = []
-    slots: list[Slot] = []
-    for want in wants:
-        place([want], slots, rooms)
-        while want.count > 0 and len(chosen) < most:
-            fit = [offer for offer in offers if _takes(want, offer)]
+    slots: list[FreeCapacity] = []
+    for request in requests:
+        place([request], slots, allowances)
+        while request.count > 0 and len(chosen) < most:
+            fit = [offer for offer in offers if _takes(request, offer)]
             if not fit:
                 break
             best = min(
                 fit,
-                key=lambda offer: (want.zones.get(offer.zone, 0), round(offer.price / offer.cores, 3), -offer.cores),
+                key=lambda offer: (request.zones.get(offer.zone, 0), round(offer.price / offer.cores, 3), -offer.cores),
             )
-            slot = Slot(f"+{len(slots)}", best.build, best.zone, best.spot, best.cores, best.cards, best.ram)
-            before = want.count
-            place([want], [slot], rooms)
-            if want.count == before:
+            slot = FreeCapacity(f"+{len(slots)}", best.build, best.zone, best.spot, best.cores, best.cards, best.ram)
+            before = request.count
+            place([request], [slot], allowances)
+            if request.count == before:
                 break
             chosen.append(best)
             slots.append(slot)
     return chosen
 
 
-def _takes(want: Want, offer: Offer) -> bool:
+def _takes(request: TaskRequest, offer: Offer) -> bool:
     return (
-        allowed(want, offer.build, offer.zone, offer.spot)
-        and want.zones.get(offer.zone, 0) < want.zone_most
-        and want.cpus <= offer.cores
-        and want.cards <= offer.cards
-        and want.ram <= offer.ram
+        allowed(request, offer.build, offer.zone, offer.spot)
+        and request.zones.get(offer.zone, 0) < request.zone_most
+        and request.cpus <= offer.cores
+        and request.cards <= offer.cards
+        and request.ram <= offer.ram
     )
 
 
--- a/src/elmthread/sizing/tests/test_decide.py
+++ b/src/elmthread/sizing/tests/test_decide.py
@@ -15,7 +15,7 @@
     ends,
     fewest,
     finish,
-    forsaken,
+    jobs_to_put_off,
     merged,
     refill,
     unsavable,
@@ -102,7 +102,7 @@
     st.lists(st.tuples(st.integers(1, 30), st.integers(1, 20)), min_size=1, max_size=7),
     st.integers(1, 3),
 )
-def test_forsaken_leaves_the_fewest_late(jobs: list[tuple[int, int]], cores: int) -> None:
+def test_jobs_to_put_off_leave_the_fewest_late(jobs: list[tuple[int, int]], cores: int) -> None:
     lines = [Line(str(n), float(due), float(work), 0.0) for n, (due, work) in enumerate(jobs)]
 
     def feasible(subset: tuple[Line, ...]) -> bool:
@@ -118,7 +118,7 @@
         for count in range(len(lines) + 1)
         if any(feasible(subset) for subset in itertools.combinations(lines, count))
     )
-    assert len(lines) - len(forsaken(lines, float(cores))) == most
+    assert len(lines) - len(jobs_to_put_off(lines, float(cores))) == most
 
 
 def test_band() -> None:
--- a/src/elmthread/sizing/tests/test_round.py
+++ b/src/elmthread/sizing/tests/test_round.py
@@ -46,17 +46,17 @@
         checked = 0
         places_of, running = Sizing._places, Sizing._running
 
-        def places(self: Sizing, want: Any) -> tuple[str, ...]:
+        def places(self: Sizing, request: Any) -> tuple[str, ...]:
             nonlocal checked
-            found = places_of(self, want)
+            found = places_of(self, request)
             plain = {
                 machine.name
                 for machine in cluster.machines.values()
                 if machine.serves(now)
-                and allowed(want, machine.build, machine.zone, machine.spot)
-                and want.cpus <= machine.cpus
-                and want.cards <= machine.cards
-                and want.ram <= machine.ram
+                and allowed(request, machine.build, machine.zone, machine.spot)
+                and request.cpus <= machine.cpus
+                and request.cards <= machine.cards
+                and request.ram <= machine.ram
             }
             assert set(found) == plain and len(found) == len(plain)
             checked += 1
--- a/src/elmthread/sizing/tests/test_services.py
+++ b/src/elmthread/sizing/tests/test_services.py
@@ -6,13 +6,13 @@
 import random
 
 from elmthread.common.clock import seconds
-from elmthread.placement.decide import Room, Slot, Want, allowed
+from elmthread.placement.decide import FreeCapacity, TaskRequest, TeamAllowance, allowed
 from elmthread.sizing.decide import Offer
 from elmthread.sizing.services import Trend, machines_for, reserve, unplaced
 
 
-def want(count: int, most: float = math.inf, **changes: object) -> Want:
-    return Want(
+def request(count: int, most: float = math.inf, **changes: object) -> TaskRequest:
+    return TaskRequest(
         **{  # type: ignore[arg-type]
             "job": "s",
             "team": "t",
@@ -39,11 +39,11 @@
         rng = random.Random(seed)
         tasks = rng.randint(1, 9)
         most = rng.choice([math.inf, math.ceil(tasks / 2)])
-        wanted = want(tasks, most, zones={"x": rng.randint(0, 2)} if rng.random() < 0.5 else {})
+        wanted = request(tasks, most, zones={"x": rng.randint(0, 2)} if rng.random() < 0.5 else {})
         there = dict(wanted.zones)
-        rooms = {"t": Room(rng.choice([math.inf, 6.0]))}
-        limit = min(tasks, int(rooms["t"].cpus / 2) if rooms["t"].cpus < math.inf else tasks)
-        chosen = machines_for([wanted], OFFERS, rooms, 50)
+        allowances = {"t": TeamAllowance(rng.choice([math.inf, 6.0]))}
+        limit = min(tasks, int(allowances["t"].cpus / 2) if allowances["t"].cpus < math.inf else tasks)
+        chosen = machines_for([wanted], OFFERS, allowances, 50)
         assert not any(offer.spot for offer in chosen)
         # They take all that limits let run, and none is there for nothing.
         assert tasks - wanted.count == limit
@@ -56,11 +56,11 @@
     for seed in range(200):
         rng = random.Random(seed)
         slots = [
-            Slot(f"m{n}", "small", rng.choice("xy"), rng.random() < 0.4, float(rng.randint(0, 4)), 0.0, 8.0)
+            FreeCapacity(f"m{n}", "small", rng.choice("xy"), rng.random() < 0.4, float(rng.randint(0, 4)), 0.0, 8.0)
             for n in range(4)
         ]
-        one = want(rng.randint(1, 5), rng.choice([math.inf, 2.0]))
-        left = unplaced([one], copy.deepcopy(slots), {"t": Room()})
+        one = request(rng.randint(1, 5), rng.choice([math.inf, 2.0]))
+        left = unplaced([one], copy.deepcopy(slots), {"t": TeamAllowance()})
         # By brute force: the most replicas that any way of giving them out can place.
         best = 0
         each = [range(int(s.cpus // 2) + 1) if allowed(one, s.build, s.zone, s.spot) else range(1) for s in slots]
@@ -68,11 +68,11 @@
             by_zone = {z: sum(c for c, s in zip(counts, slots, strict=True) if s.zone == z) for z in "xy"}
             if max(by_zone.values()) <= one.zone_most:
                 best = max(best, min(sum(counts), one.count))
-        assert one.count - sum(want.count for want in left) == best
+        assert one.count - sum(request.count for request in left) == best
 
 
 def test_a_team_at_its_limit_has_nothing_rented_for_it() -> None:
-    assert unplaced([want(3)], [], {"t": Room(1.0)}) == []
+    assert unplaced([request(3)], [], {"t": TeamAllowance(1.0)}) == []
 
 
 def test_reserve_has_the_cores_and_no_zone_counts_for_more_than_half() -> None:
--- a/tests/test_daemons.py
+++ b/tests/test_daemons.py
@@ -11,7 +11,7 @@
 from elmthread.intake.jobs import Jobs
 from elmthread.intake.messages import read_submission
 from elmthread.placement.cluster import Job
-from elmthread.placement.decide import Want
+from elmthread.placement.decide import TaskRequest
 from elmthread.placement.service import may_ever_run
 from elmthread.rollout.features import ActiveFeatures
 from elmthread.settings import operators, platform
@@ -239,8 +239,8 @@
 def test_cards_of_all_replicas_count_against_the_limit() -> None:
     types = [("g8", 96.0, 8.0, 768.0, ["east"])]
     limit = platform.Team("red", cards_max=8.0)
-    assert may_ever_run(Want("u", "red", (), 2, 1.0, 4.0, 1.0), limit, types) is None
-    assert may_ever_run(Want("u", "red", (), 3, 1.0, 4.0, 1.0), limit, types) is not None
+    assert may_ever_run(TaskRequest("u", "red", (), 2, 1.0, 4.0, 1.0), limit, types) is None
+    assert may_ever_run(TaskRequest("u", "red", (), 3, 1.0, 4.0, 1.0), limit, types) is not None
 
 
 def test_services_get_room_that_deferrable_work_holds_and_never_give_it_back() -> None:
