--- a/tests/world/links.py
+++ b/tests/world/links.py
@@ -4,9 +4,10 @@
 the simulated world and by `tools/cut_links.py`.
 """
 
+import asyncio
 import random
 import tomllib
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from pathlib import Path
 from typing import Any
 
@@ -41,6 +42,8 @@
     "properties": {"faults": {"type": "array", "items": FAULT}, "jobs": {"type": "integer", "minimum": 0}},
 }
 Fault = dict[str, Any]
+# What happens, to which fault, on which links.
+Changed = Callable[[str, Fault, list[tuple[str, str]]], None]
 
 
 class BadScheduleError(Exception):
@@ -143,3 +146,35 @@
 def _meets(end: str, pattern: str) -> bool:
     """An end by itself; `workers` stands for those of all zones."""
     return end == pattern or (pattern == WORKERS and end.startswith(f"{WORKERS}/"))
+
+
+class SchedulePlayer:
+    """Plays a schedule on a running loop, whether its time is real or simulated."""
+
+    def __init__(self, faults: LinkFaults, nodes: list[str], leader: Callable[[], str], changed: Changed) -> None:
+        """`leader` names the node that leads now; `changed` is called after each begin and end of a fault."""
+        self._faults, self._nodes = faults, nodes
+        self._leader, self._changed = leader, changed
+
+    async def play(self, schedule: list[Fault]) -> None:
+        """Plays all faults, from now to the end of the last."""
+        await asyncio.gather(*(self._play_one(fault) for fault in schedule))
+
+    async def _play_one(self, fault: Fault) -> None:
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        for start, end in spans(fault):
+            await asyncio.sleep(max(0.0, began + start - loop.time()))
+            pairs = [(one, two) for one in self._resolve(fault["from"]) for two in self._resolve(fault["to"])]
+            begun = [self._faults.begin(one, two, fault) for one, two in pairs if one != two]
+            self._changed("begins", fault, pairs)
+            await asyncio.sleep(max(0.0, began + end - loop.time()))
+            for one_of_all in begun:
+                self._faults.end(one_of_all)
+            self._changed("ends", fault, pairs)
+
+    def _resolve(self, end: str) -> list[str]:
+        """The ends that a name of a schedule stands for now."""
+        leader = self._leader()
+        others = [node for node in self._nodes if node != leader]
+        return {LEADER: [leader], FOLLOWER: others[:1], PEERS: others}.get(end, [end])
--- a/tests/world/world.py
+++ b/tests/world/world.py
@@ -18,7 +18,7 @@
 from elmthread.peers.messages import ForwardedRequest, ForwardedResponse
 from elmthread.rollout.features import SUPPORTED, SupportedLevels
 from elmthread.rollout.settings import RolloutSettings
-from tests.world.links import FOLLOWER, LEADER, PEERS, STORE, WORKERS, Fault, LinkFaults, spans
+from tests.world.links import STORE, WORKERS, Fault, LinkFaults, SchedulePlayer
 from tests.world.loop import NODE, SimLoop
 from tests.world.rules import Rules
 from tests.world.services import CloudStand, Port, Rented, StateStore, Trouble
@@ -300,30 +300,13 @@
 
     # Links
 
-    def resolve(self, end: str) -> list[str]:
-        """The ends that a name of a schedule stands for now."""
-        leader = next((node for node, one in self.controllers.items() if one is self.leader), self.nodes[0])
-        if end == LEADER:
-            return [leader]
-        if end == FOLLOWER:
-            return [next(node for node in self.nodes if node != leader)]
-        return [node for node in self.nodes if node != leader] if end == PEERS else [end]
-
     async def play_faults(self, faults: list[Fault]) -> None:
         """Plays a schedule to its end, from now on."""
-        await asyncio.gather(*(self._play_fault(fault) for fault in faults))
-
-    async def _play_fault(self, fault: Fault) -> None:
-        began = self.loop.now
-        for start, end in spans(fault):
-            await asyncio.sleep(max(0.0, began + start - self.loop.now))
-            pairs = [(one, other) for one in self.resolve(fault["from"]) for other in self.resolve(fault["to"])]
-            begun = [self.link_faults.begin(one, other, fault) for one, other in pairs if one != other]
-            self._apply_to_stores()
-            await asyncio.sleep(max(0.0, began + end - self.loop.now))
-            for one in begun:
-                self.link_faults.end(one)
-            self._apply_to_stores()
+
+        def leader() -> str:
+            return next((node for node, one in self.controllers.items() if one is self.leader), self.nodes[0])
+
+        await SchedulePlayer(self.link_faults, self.nodes, leader, lambda *_: self._apply_to_stores()).play(faults)
 
     def _apply_to_stores(self) -> None:
         for node in self.controllers:
--- a/tools/cut_links.py
+++ b/tools/cut_links.py
@@ -21,18 +21,7 @@
 from elmthread.peers.messages import LeaderAnnouncement
 from elmthread.reachability.command import ANNOUNCED_WITHIN, ask, describe
 from tests.world.earlier import newest
-from tests.world.links import (
-    FOLLOWER,
-    LEADER,
-    PEERS,
-    STORE,
-    WORKERS,
-    BadScheduleError,
-    Fault,
-    LinkFaults,
-    read_schedule,
-    spans,
-)
+from tests.world.links import STORE, WORKERS, BadScheduleError, Fault, LinkFaults, SchedulePlayer, read_schedule
 from tests.world.world import ZONES
 from tools.forwarder import Forwarder
 from tools.loopback import HOST, RealLoop, StandIns, free_ports, real_loop
@@ -137,26 +126,17 @@
 
     async def play(self, faults: list[Fault]) -> None:
         """Plays a schedule."""
-        await asyncio.gather(*(self._play(fault) for fault in faults))
-
-    async def _play(self, fault: Fault) -> None:
-        began = time.monotonic()
-        for start, end in spans(fault):
-            await asyncio.sleep(max(0.0, began + start - time.monotonic()))
-            pairs = [(one, two) for one in self._resolve(fault["from"]) for two in self._resolve(fault["to"])]
-            begun = [self.faults.begin(one, two, fault) for one, two in pairs if one != two]
-            name = f"{fault.get('kind', 'drop')} {fault['from']} {'<->' if fault.get('both') else '->'} {fault['to']}"
-            self.say(f"begins: {name} ({', '.join(f'{one} {two}' for one, two in pairs)})")
-            await asyncio.sleep(max(0.0, began + end - time.monotonic()))
-            for one in begun:
-                self.faults.end(one)
-            self.say(f"ends: {name}")
-
-    def _resolve(self, end: str) -> list[str]:
-        leads = [(at, node.name) for node in self.nodes.values() if (at := node.when("leading with token")) is not None]
-        leader = max(leads)[1] if leads else NODES[0]
-        others = [node for node in NODES if node != leader]
-        return {LEADER: [leader], FOLLOWER: others[:1], PEERS: others}.get(end, [end])
+
+        def changed(what: str, fault: Fault, pairs: list[tuple[str, str]]) -> None:
+            arrow = "<->" if fault.get("both") else "->"
+            links = ", ".join(f"{one} {arrow} {other}" for one, other in pairs)
+            self.say(f"{what}: {fault.get('kind', 'drop')} {fault['from']} {arrow} {fault['to']} ({links})")
+
+        await SchedulePlayer(self.faults, NODES, self._leader, changed).play(faults)
+
+    def _leader(self) -> str:
+        terms = [(at, node.name) for node in self.nodes.values() if (at := node.when("leading with token")) is not None]
+        return max(terms)[1] if terms else NODES[0]
 
     async def until_over(self) -> bool:
         """Whether every job that was submitted comes to an end."""
