--- a/src/elmthread/cli.py
+++ b/src/elmthread/cli.py
@@ -17,6 +17,7 @@
 
 
 def parser() -> argparse.ArgumentParser:
+    """The command line's grammar."""
     top = argparse.ArgumentParser(prog="elmthread", description="A cluster scheduler.")
     top.add_argument("--version", action="version", version=f"elmthread {__version__}")
     verbs = top.add_subparsers(dest="verb", required=True)
@@ -57,6 +58,7 @@
 
 
 def main(argv: list[str] | None = None) -> int:
+    """Runs one command and returns its exit code: 0 done, 1 not answered or refused, 2 bad usage or settings."""
     args = parser().parse_args(argv)
     logs.set_up()
     if args.verb in ("serve", "check", "rollout", "links"):
--- a/src/elmthread/common/__init__.py
+++ b/src/elmthread/common/__init__.py
@@ -1,1 +1,1 @@
-
+"""What all parts share: HTTP, clocks, states, load, logs."""
--- a/src/elmthread/common/clock.py
+++ b/src/elmthread/common/clock.py
@@ -12,10 +12,12 @@
 
 
 def steady() -> timedelta:
+    """Time since some moment, by this machine's steady clock."""
     return timedelta(seconds=time.monotonic())
 
 
 def seconds(value: float) -> timedelta:
+    """A span of so many seconds."""
     return timedelta(seconds=value)
 
 
--- a/src/elmthread/common/http.py
+++ b/src/elmthread/common/http.py
@@ -28,6 +28,8 @@
 
 @dataclass(slots=True)
 class Request:
+    """One request, its body undecoded."""
+
     method: str
     path: str
     query: Mapping[str, str]
@@ -39,6 +41,8 @@
 
 @dataclass(slots=True)
 class Response:
+    """One answer; the body is encoded as CBOR."""
+
     status: int
     body: Any = None
     retry_after: timedelta | None = None
@@ -63,6 +67,7 @@
 
 
 def decode(body: bytes) -> Any:
+    """The value of a CBOR body. Raises MalformedBodyError."""
     try:
         return cbor2.loads(body)
     except Exception as error:  # the decoder raises many kinds on hostile bytes
@@ -108,6 +113,7 @@
     _server: asyncio.Server | None = None
 
     async def start(self, host: str, port: int) -> int:
+        """Begins to listen; returns the port. Raises OSError."""
         # A whole fleet may come at once while the loop is busy: as many may wait as may be open.
         self._server = await asyncio.start_server(
             self._serve, host, port, limit=READ_SIZE, backlog=self.max_connections
@@ -123,6 +129,7 @@
                 one.writer.transport.abort()
 
     async def close(self) -> None:
+        """Ends all connections and stops listening."""
         if self._server is not None:
             self._server.close()
         for one in list(self._open):
@@ -335,6 +342,8 @@
 
 @dataclass(slots=True)
 class Answer:
+    """A status and a decoded body."""
+
     status: int
     body: Any
 
@@ -357,6 +366,7 @@
     """Keeps a few connections to one address, each with one request in flight."""
 
     def __init__(self, address: str, most_idle: int = 4) -> None:
+        """`address` is HOST:PORT; `most_idle` connections are kept open between requests."""
         host, _, port = address.rpartition(":")
         self.host, self.port, self.address = host, int(port), address
         self._idle: list[tuple[asyncio.StreamReader, asyncio.StreamWriter, h11.Connection]] = []
@@ -365,6 +375,7 @@
     async def call(
         self, method: str, path: str, body: Any = None, *, timeout: timedelta, sure: Callable[[], bool] | None = None
     ) -> Answer:
+        """Sends one request and returns its answer. Raises NoResponseError and NotSentError."""
         payload = b"" if body is None else cbor2.dumps(body)
         try:
             async with asyncio.timeout(timeout.total_seconds()):
--- a/src/elmthread/common/load.py
+++ b/src/elmthread/common/load.py
@@ -35,12 +35,16 @@
 
 
 class Load:
+    """How far the event loop is behind its timers, and what is refused for it."""
+
     def __init__(self, clock: Clock) -> None:
+        """Nothing is behind at first."""
         self._clock = clock
         self._late: deque[timedelta] = deque([ZERO] * LASTING, maxlen=LASTING)
         self._told: Kind | None = None
 
     async def run(self) -> None:
+        """Measures for ever."""
         while True:
             began = self._clock()
             await asyncio.sleep(TICK.total_seconds())
@@ -57,7 +61,9 @@
 
     @property
     def behind(self) -> timedelta:
+        """The least of the last measurements: one long step counts for nothing."""
         return min(self._late)
 
     def refuses(self, kind: Kind) -> bool:
+        """Whether that kind of work is to be refused now."""
         return self.behind > BOUNDS[kind]
--- a/src/elmthread/common/states.py
+++ b/src/elmthread/common/states.py
@@ -15,6 +15,7 @@
 
 
 def step(name: str, table: Mapping[S, frozenset[S]], old: S, new: S) -> S:
+    """The new state. Raises TransitionError where the table does not allow the change."""
     if new is old:
         return old
     if new not in table[old]:
--- a/src/elmthread/controller.py
+++ b/src/elmthread/controller.py
@@ -46,6 +46,8 @@
 
 
 class Controller:
+    """All parts of one process, joined."""
+
     def __init__(
         self,
         platform: Platform,
@@ -249,6 +251,7 @@
             group.create_task(self.check_for_newer_terms())
 
     async def run(self) -> None:
+        """Serves users, workers and the other controllers until it is cancelled."""
         platform = self._platform
         host, port = split_address(platform.listen)
         await self.server.start(host, port)
--- a/src/elmthread/leader.py
+++ b/src/elmthread/leader.py
@@ -168,6 +168,7 @@
         self._shortfall = asyncio.Event()
 
     def changed(self) -> None:
+        """Something has changed that placement may act on."""
         self._change.set()
 
     def accepted(self) -> None:
@@ -199,6 +200,7 @@
     # Running
 
     async def run(self) -> None:
+        """Loads the view, then serves until the term ends. Raises what the load raises."""
         rollout = TermRollout(self._rollout, self._state, self.writer, self._clock, self.token)
         loader = Loader(
             self._state,
@@ -268,5 +270,6 @@
                 pass
 
     def stop(self) -> None:
+        """Ends what is under way; nothing more is written or asked of the cloud."""
         self.writer.stop()
         self.fleet.stop()
--- a/src/elmthread/leadership/__init__.py
+++ b/src/elmthread/leadership/__init__.py
@@ -1,1 +1,1 @@
-
+"""The lease of leadership."""
--- a/src/elmthread/leadership/election.py
+++ b/src/elmthread/leadership/election.py
@@ -40,6 +40,8 @@
 
 
 class Role(Enum):
+    """What this node is."""
+
     FOLLOWER = auto()
     LEADING = auto()
     HOLDING = auto()
@@ -81,12 +83,16 @@
 
 
 class LeaderRecord(msgspec.Struct):
+    """The value of the leader key."""
+
     node: str
     nonce: str
     hold: int
 
 
 class Election:
+    """Stands for leader, keeps the lease and gives it up; one for each process."""
+
     def __init__(
         self,
         node: str,
@@ -134,6 +140,7 @@
         return self.role is Role.LEADING
 
     def answers_workers(self) -> bool:
+        """Whether workers may be answered: the lease surely holds, or the holding time is not over."""
         if self.leads():
             return True
         since = max(self._sure_until, self._no_later_term_at)
@@ -177,6 +184,7 @@
             self.step_down("a newer leader is known")
 
     def step_down(self, why: str) -> None:
+        """Ends this node's term, if it has one; `why` goes into the log."""
         if self.role is Role.FOLLOWER:
             return
         log.info("stepping down: %s", why)
@@ -188,6 +196,7 @@
         self._lost()
 
     async def run(self) -> None:
+        """Follows and stands for ever."""
         while True:
             if self._wait_admitted is not None:
                 await self._wait_admitted()
@@ -308,23 +317,29 @@
     """
 
     def __init__(self, election: Election, token: int) -> None:
+        """The term of that token."""
         self._election = election
         self.token = token
 
     @property
     def leader(self) -> str | None:
+        """Who leads, as far as this node knows."""
         return self._election.leader
 
     def leads(self) -> bool:
+        """Whether this very term's lease surely holds."""
         return self._election.token == self.token and self._election.leads()
 
     def answers_workers(self) -> bool:
+        """Whether this very term may still answer workers."""
         return self._election.token == self.token and self._election.answers_workers()
 
     def hear(self, token: int) -> None:
+        """A worker has seen that token."""
         self._election.hear(token, None)
 
     def step_down(self, why: str) -> None:
+        """Ends this term, if it is still the present one."""
         if self._election.token == self.token:
             self._election.step_down(why)
 
--- a/src/elmthread/peers/__init__.py
+++ b/src/elmthread/peers/__init__.py
@@ -1,1 +1,1 @@
-
+"""Links between controllers."""
--- a/src/elmthread/peers/link.py
+++ b/src/elmthread/peers/link.py
@@ -32,6 +32,8 @@
 
 
 class LinkState(Enum):
+    """Whether a connection to another node stands."""
+
     DOWN = auto()
     DIALLING = auto()
     UP = auto()
@@ -52,9 +54,11 @@
     """Counts frames that can't be read: one is an accident, many are a fault on the other side."""
 
     def __init__(self) -> None:
+        """None yet."""
         self.count = 0
 
     def note(self, who: str, error: Exception) -> None:
+        """One more was dropped."""
         self.count += 1
         log.warning("frame from %s dropped (%s so far): %s", who, self.count, error)
 
@@ -95,6 +99,7 @@
     """Our connection to one other node."""
 
     def __init__(self, node: str, host: str, port: int, hear: Hear, say: Say, dropped: Dropped, most: int) -> None:
+        """`most` questions may wait for an answer."""
         self.node = node
         self._most = most
         self._dropped = dropped
@@ -110,6 +115,7 @@
         self.state = step(f"link to {self.node}", LINK_STEPS, self.state, new)
 
     async def run(self) -> None:
+        """Connects, and connects anew, for ever."""
         while True:
             self._move(LinkState.DIALLING)
             try:
@@ -150,6 +156,7 @@
             self._hear(message)
 
     async def ask(self, ask: ForwardedRequest, timeout: timedelta) -> ForwardedResponse:
+        """Asks the other node. Raises PeerUnreachableError."""
         if self._writer is None:
             raise PeerUnreachableError(self.node)
         if len(self._asked) >= self._most:
@@ -189,10 +196,12 @@
         self._server: asyncio.Server | None = None
 
     def reaches(self, node: str) -> bool:
+        """Whether a connection to the node stands."""
         link = self._links.get(node)
         return link is not None and link.state is LinkState.UP
 
     async def ask(self, node: str, ask: ForwardedRequest, timeout: timedelta) -> ForwardedResponse:
+        """Asks a node. Raises PeerUnreachableError."""
         link = self._links.get(node)
         if link is None:
             raise PeerUnreachableError(node)
@@ -207,6 +216,7 @@
             writer.write(frame)
 
     async def run(self, host: str, port: int) -> None:
+        """Listens there, keeps all links, and announces this node's state each second."""
         self._server = await asyncio.start_server(self._serve, host, port)
         async with asyncio.TaskGroup() as group:
             for link in self._links.values():
--- a/src/elmthread/peers/messages.py
+++ b/src/elmthread/peers/messages.py
@@ -38,6 +38,8 @@
 
 
 class ForwardedResponse(msgspec.Struct, tag_field="kind", tag="reply"):
+    """The answer to a forwarded request."""
+
     number: int
     status: int
     body: dict[str, Any] | None = None
--- a/src/elmthread/rollout/features.py
+++ b/src/elmthread/rollout/features.py
@@ -79,6 +79,7 @@
     highest: int
 
     def __contains__(self, level: int) -> bool:
+        """Whether the level's forms can be read and written."""
         return self.lowest <= level <= self.highest
 
     def reads(self, feature: Feature) -> bool:
--- a/src/elmthread/settings/__init__.py
+++ b/src/elmthread/settings/__init__.py
@@ -1,1 +1,1 @@
-
+"""The platform's and the operators' settings."""
--- a/src/elmthread/settings/expressions.py
+++ b/src/elmthread/settings/expressions.py
@@ -33,6 +33,7 @@
     """A checked expression of a known type: "number", "text" or "truth"."""
 
     def __init__(self, source: str, names: Mapping[str, str], wanted: str) -> None:
+        """Checks the source against the names and the kind of value that is wanted. Raises ExpressionError."""
         self.source = source
         if len(source) > MAX_LENGTH:
             raise ExpressionError(f"longer than {MAX_LENGTH} characters")
@@ -50,6 +51,7 @@
         self.names = frozenset(node.id for node in ast.walk(tree) if isinstance(node, ast.Name)) - FUNCTIONS.keys()
 
     def __call__(self, values: Mapping[str, Any]) -> Any:
+        """The expression's value for these names. Raises ZeroDivisionError and OverflowError."""
         self._eval.names = dict(values)
         return self._eval.eval(self.source, previously_parsed=self._tree)
 
--- a/src/elmthread/settings/operators.py
+++ b/src/elmthread/settings/operators.py
@@ -32,6 +32,8 @@
 
 
 class Raw(msgspec.Struct, forbid_unknown_fields=True):
+    """The operators' file as it is written."""
+
     urgent: str = "form == 'daemon' or priority in ('production', 'high')"
     deadline_s: str = "due_s if due_s > 0 else objective_s if objective_s > 0 else 3600"
     theta: float = 0.6
@@ -44,6 +46,7 @@
     """The checked settings, with defaults that serve a deployment that says nothing."""
 
     def __init__(self, raw: Raw) -> None:
+        """Checks everything. Raises SettingsError."""
         self._urgent = _expression("urgent", raw.urgent, "truth")
         self._deadline = _expression("deadline_s", raw.deadline_s, "number")
         self.theta = _number("theta", raw.theta, 0.05, 1.0)
@@ -55,9 +58,11 @@
         self.rollout = raw.rollout
 
     def urgent(self, job: dict[str, Any]) -> bool:
+        """Whether a job goes first, by its fields."""
         return bool(self._urgent(job))
 
     def deadline(self, job: dict[str, Any]) -> timedelta:
+        """How long after its submission a job is to be done, from 1 s to 30 days."""
         try:
             value = float(self._deadline(job))
         except (ZeroDivisionError, OverflowError):
@@ -80,6 +85,7 @@
 
 
 def parse(text: str) -> Operators:
+    """Reads a file's text. Raises SettingsError."""
     try:
         return Operators(msgspec.convert(tomllib.loads(text), Raw))
     except (tomllib.TOMLDecodeError, msgspec.ValidationError) as error:
@@ -87,6 +93,7 @@
 
 
 def load(path: Path | None) -> Operators:
+    """Reads a file; without one, the defaults. Raises SettingsError, naming the file."""
     if path is None:
         return Operators(Raw())
     try:
--- a/src/elmthread/settings/platform.py
+++ b/src/elmthread/settings/platform.py
@@ -15,12 +15,16 @@
 
 
 class Other(msgspec.Struct, rename={"node": "node_name", "zone": "site"}):
+    """Another controller."""
+
     node: str
     zone: str
     address: str
 
 
 class Endpoints(msgspec.Struct):
+    """Where the cloud and the state service are."""
+
     cloud: str
     state: str
 
@@ -36,10 +40,12 @@
 
     @property
     def cpu_limit(self) -> float:
+        """The most cores that the team may use."""
         return self.cpus_max or math.inf
 
     @property
     def card_limit(self) -> float:
+        """The most GPUs that the team may use."""
         return self.cards_max or math.inf
 
 
@@ -55,20 +61,25 @@
 
 
 class Workers(msgspec.Struct):
+    """Times that workers keep to."""
+
     report_s: float
     lease_s: float
     cancel_s: float
 
     @property
     def report(self) -> timedelta:
+        """The usual time between two reports."""
         return seconds(self.report_s)
 
     @property
     def lease(self) -> timedelta:
+        """How long a worker goes on without an answer."""
         return seconds(self.lease_s)
 
     @property
     def cancel(self) -> timedelta:
+        """How soon after a cancellation is told all tasks must be gone."""
         return seconds(self.cancel_s)
 
 
@@ -82,6 +93,8 @@
 
 
 class State(msgspec.Struct):
+    """Limits of the state service."""
+
     rps: float
     write_rps: float
     value_kb: float
@@ -105,21 +118,28 @@
 
 
 class Cloud(msgspec.Struct):
+    """Limits of the cloud."""
+
     rps: float
     list_lag_s: float
 
     @property
     def list_lag(self) -> timedelta:
+        """How late the cloud's list is."""
         return seconds(self.list_lag_s)
 
 
 class Limits(msgspec.Struct):
+    """What a controller's machine allows."""
+
     cores: float = 1.0
     ram_mb: float = 256.0
     max_connections: int = 1000
 
 
 class Facts(msgspec.Struct):
+    """Everything that is the same for all controllers."""
+
     zones: list[str]
     workers: Workers
     state: State
@@ -132,6 +152,8 @@
 
 
 class Platform(msgspec.Struct, rename={"node": "node_name", "zone": "site", "listen": "serve_on"}):
+    """The platform's settings file."""
+
     node: str
     zone: str
     listen: str
@@ -146,10 +168,12 @@
         return frozenset({self.node, *(other.node for other in self.others)})
 
     def team(self, name: str) -> Team | None:
+        """The team of that name."""
         return next((team for team in self.facts.teams if team.name == name), None)
 
 
 def split_address(address: str) -> tuple[str, int]:
+    """Host and port of HOST:PORT. Raises ValueError."""
     host, _, port = address.rpartition(":")
     if not host or not port.isdigit() or not 0 <= int(port) < 65536:
         raise ValueError(address)
@@ -157,6 +181,7 @@
 
 
 def parse(text: str) -> Platform:
+    """Reads a file's text. Raises SettingsError."""
     try:
         raw = tomllib.loads(text)
     except tomllib.TOMLDecodeError as error:
@@ -170,6 +195,7 @@
 
 
 def load(path: Path) -> Platform:
+    """Reads a file. Raises SettingsError, naming the file."""
     try:
         return parse(path.read_text())
     except (OSError, UnicodeDecodeError, SettingsError) as error:
