--- a/tests/test_link_cuts.py
+++ b/tests/test_link_cuts.py
@@ -173,6 +173,35 @@
     cut_day(script)
 
 
+def test_nothing_is_deleted_or_rented_for_the_silence_of_a_zone_in_doubt() -> None:
+    """Most of a zone, though not nearly all, is out of the leader's sight: it may be the leader's own link."""
+
+    async def script(world: World, history: History) -> None:
+        assert world.leader is not None
+        for _ in range(6):
+            world.rent("small", "west")
+        assert await world.submit(job(50, pieces=60, true_s=90.0, expected_s=90.0))
+        await asyncio.sleep(9)
+        west = sorted(name for name, worker in world.workers.items() if worker.zone == "west")
+        silent = west[: len(west) * 2 // 3]
+        assert len(west) * 0.5 < len(silent) < len(west) * 0.8 and len(west) >= 4
+        world.cut_workers |= {(worker, node) for worker in silent for node in NODES}
+        await asyncio.sleep(8)
+        before = len([one for one in world.cloud.machines.values() if one.zone == "west"])
+        # Past the lease their tasks run elsewhere; the machines stay, and there are no others.
+        await asyncio.sleep(40)
+        assert set(silent) <= set(world.cloud.machines)
+        assert len([one for one in world.cloud.machines.values() if one.zone == "west"]) <= before
+        assert not {machine for machine, _ in world.rules.where} & set(silent)
+        # After 90 s more they are given up: a machine that is dead must not be paid for ever.
+        await asyncio.sleep(75)
+        assert not set(silent) & set(world.cloud.machines)
+        world.cut_workers.clear()
+        assert await world.submit(job(51, pieces=8, true_s=60.0, expected_s=60.0))
+
+    cut_day(script)
+
+
 def test_two_controllers_that_each_see_another_half_do_not_fight() -> None:
     async def script(world: World, history: History) -> None:
         faults = [cut("leader", "workers/east", length=60.0), cut("follower", "workers/north", length=60.0)]
