--- a/tests/test_link_cuts.py
+++ b/tests/test_link_cuts.py
@@ -197,7 +197,11 @@
         await asyncio.sleep(75)
         assert not set(silent) & set(world.cloud.machines)
         world.cut_workers.clear()
-        assert await world.submit(job(51, pieces=8, true_s=60.0, expected_s=60.0))
+        assert set((await world.until_over(["run-000050"], 300)).values()) == {"done"}
+        # Users come back, so there are machines to hear.
+        assert await world.submit(job(51, pieces=8, true_s=30.0, expected_s=30.0))
+        await asyncio.sleep(20)
+        assert set((await world.until_over(["run-000051"], 100)).values()) == {"done"}
 
     cut_day(script)
 
