Without peers: reports wait a moment where this node may lead, and others wait for a worker's turn

Change: such a report is held for 2 s at most, and answered if this node leads by then; the wait is a worker's wait and turn, 5 s.

--- a/src/elmthread/controller.py
+++ b/src/elmthread/controller.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from elmthread.agents.messages import HEARTBEAT_PATH
+from elmthread.agents.messages import HEARTBEAT_PATH, names_leader
 from elmthread.budgets import (
     LEADERS_PART,
     LEASE,
@@ -199,6 +199,7 @@
         if self._leading is not None:
             self._leading.cancel()
         self.leader = self._leading = self.reachability.term = None
+        self.reachability.leading.clear()
         self.peers.tell()
 
     def _intake(self) -> Intake | None:
@@ -211,7 +212,12 @@
         if leader is None or not leader.loaded:
             known = self.election.leader
             other = None if known == self._platform.node else known
-            return self.reachability.redirect(request, other, self.election.seen_token)
+            response = self.reachability.redirect(request, other, self.election.seen_token)
+            if names_leader(response.body) or not await self.reachability.wait_to_lead():
+                return response
+            leader = self.leader
+            if leader is None:
+                return response
         return await leader.agents.heartbeat(request)
 
     def hear(self, lead: LeaderAnnouncement) -> None:
--- a/src/elmthread/leader.py
+++ b/src/elmthread/leader.py
@@ -73,6 +73,7 @@
         reachability, state, rollout = node.reachability, node.state, node.rollout
         self._rollout = rollout
         self._load = node.load
+        self._reachability = reachability
         self._platform = platform
         self._operators = operators
         self.term = Term(node.election, token)
@@ -216,6 +217,7 @@
         )
         await loader.load()
         self.loaded = True
+        self._reachability.leading.set()
         self.changed()
         async with asyncio.TaskGroup() as group:
             group.create_task(self.writer.run())
--- a/src/elmthread/reachability/bounds.py
+++ b/src/elmthread/reachability/bounds.py
@@ -11,6 +11,9 @@
 LONGEST_REPORT_INTERVAL = 1.25
 # The part of a worker's lease that an overdue report may take of it, whatever the interval.
 OVERDUE_PART = 0.3
+# A worker gives a controller up after this time without an answer, and turns to the next one after another second.
+ANSWER_WAIT = seconds(4)
+NEXT_CONTROLLER = seconds(1)
 # For a report's way and for the node's own work before it is read.
 REPORT_SLACK = seconds(0.5)
 # Controllers announce themselves this often; three announcements in a row are not all lost by accident.
@@ -72,8 +75,16 @@
 
     @property
     def unheard_wait(self) -> timedelta:
-        """A node that neither workers nor other nodes reach leaves a vacant leadership to others for this long."""
-        return self.ttl
+        """A node that neither workers nor other nodes reach leaves a vacant leadership to others for this long.
+
+        By then the workers that turned to one node in vain have come to the next.
+        """
+        return ANSWER_WAIT + NEXT_CONTROLLER
+
+    @property
+    def report_hold(self) -> timedelta:
+        """How long a report may wait here for a leader: its sender still listens after it."""
+        return ANSWER_WAIT / 2
 
     @property
     def least_rest(self) -> timedelta:
@@ -99,4 +110,4 @@
     @property
     def longest_without_leader(self) -> timedelta:
         """Once no link is cut: the lease of a leader that is gone, a rest that nobody breaks, and the election."""
-        return self.ttl + self.least_rest + self.ttl
+        return self.ttl + max(self.least_rest, self.unheard_wait) + self.ttl
--- a/src/elmthread/reachability/service.py
+++ b/src/elmthread/reachability/service.py
@@ -90,6 +90,8 @@
         self.backoff = LeadershipBackoff(bounds, clock, random.Random(node), alone=not others)
         self.exchange = ViewExchange(node, others, bounds, clock, secrets.randbelow(FIRST_NUMBERS))
         self.term: TermReachability | None = None
+        # Set while this node leads on a view that is loaded.
+        self.leading = asyncio.Event()
         # Named by this node when it gave way, and by another node that did.
         self._named: Successor | None = None
         self._named_by_other: Successor | None = None
@@ -106,6 +108,26 @@
             self.peers.tell()
         return response
 
+    async def wait_to_lead(self) -> bool:
+        """Holds a report for a moment where this node may lead soon; whether it does by then.
+
+        Without links to other controllers nobody can send the worker to the right one: on its own it would try the
+        others, wait for 4 s at each that is cut off, and be back here after its lease.
+        """
+        if not self._is_isolated():
+            return False
+        try:
+            async with asyncio.timeout(self.bounds.report_hold.total_seconds()):
+                await self.leading.wait()
+        except TimeoutError:
+            return False
+        return True
+
+    def _is_isolated(self) -> bool:
+        """Whether no other controller is confirmed, though there are some."""
+        confirmed = any(link.state is LinkState.CONFIRMED for link in self.exchange.links.values())
+        return self.views_active and bool(self.others) and not confirmed
+
     # What is said and heard
 
     def add_to(self, announcement: LeaderAnnouncement) -> None:
@@ -164,9 +186,7 @@
 
         A leader without peers can name nobody. Whoever is reached by the workers that have lost it stands at once.
         """
-        if not self.views_active or not self.others or self.strays.hears_workers():
-            return ZERO
-        if any(link.state is LinkState.CONFIRMED for link in self.exchange.links.values()):
+        if not self._is_isolated() or self.strays.hears_workers():
             return ZERO
         return max(ZERO, self.bounds.unheard_wait - vacant_for)
 
--- a/tests/test_link_cuts.py
+++ b/tests/test_link_cuts.py
@@ -227,21 +227,36 @@
     """Seen on a day: two of three lost the workers, nobody could name anybody, and the other of the two won.
 
     The node that is reached is the one to which workers turn first: of another nobody hears anything in time. It
-    leads on though most of them wait for 4 s at each of the others before they come.
+    leads on though some of them wait for 4 s at each of the others before they come, and it holds the reports that
+    come just before it leads: sent on, their workers would be back after their leases.
     """
+    running = kept = 0
 
     async def script(world: World, history: History) -> None:
+        nonlocal running, kept
         assert world.leader is not None
         leader = world.leader.api._node
         reached, other = (NODES[(NODES.index(leader) + step) % len(NODES)] for step in (1, 2))
+        long_jobs = [f"run-{number:06d}" for number in range(60, 64)]
+        for number in range(60, 64):
+            assert await world.submit(job(number, pieces=10, true_s=45.0, expected_s=45.0))
+        await asyncio.sleep(8)
+        before = {(machine, task) for machine, task in world.rules.where if task.rpartition("/")[0] in long_jobs}
         pairs = [(one, two) for one in NODES for two in NODES if one < two]
         cuts = [cut(*pair, length=25.0) for pair in pairs]
         cuts += [cut(node, "workers", at=0.5, length=24.0) for node in (leader, other)]
         await world.play_faults(cuts)
         assert [node for _, node, _ in history.terms] == [leader, reached]
-
-    for seed in range(4):
+        running += len(before)
+        kept += len(before & set(world.rules.where))
+        assert set((await world.until_over(long_jobs, 300)).values()) == {"done"}
+        assert await world.submit(job(70, pieces=8, true_s=30.0, expected_s=30.0))
+        await asyncio.sleep(15)
+        assert set((await world.until_over(["run-000070"], 100)).values()) == {"done"}
+
+    for seed in range(8):
         cut_day(script, seed=seed)
+    assert kept > running * 0.75, (kept, running)
 
 
 # A cut in the middle of something
