--- a/src/elmthread/reachability/service.py
+++ b/src/elmthread/reachability/service.py
@@ -157,7 +157,8 @@
         if announcement.links is msgspec.UNSET or not self.views_active:
             return
         view = self.exchange.hear(announcement.node, announcement.links)
-        if self.term is not None and announcement.strays:
+        if self.term is not None and self.leading.is_set() and announcement.strays:
+            # Not before the view is loaded, and not only with the next round.
             self.term.look()
         if view is not None and view.successor is not None:
             self._hear_successor(view.successor, view.successor_token)
