--- a/review/random_days.py
+++ b/review/random_days.py
@@ -103,23 +103,27 @@
 class CutWorker(workers.Worker):
     """A worker that can be cut off: its reports get no answer, and some arrive late."""
 
-    cut = False
+    cut = False  # from all controllers
+    cut_from = frozenset()  # from these
+
+    def is_cut(self):
+        return self.cut or self.node in self.cut_from
 
     async def send(self, report):
-        if not self.cut:
+        if not self.is_cut():
             answer = await super().send(report)
-            if self.cut:
+            if self.is_cut():
                 raise NoAnswer("cut")
             return answer
         if RNG.random() < 0.6:
-            self.world.tasks.append(asyncio.create_task(self._deliver_late(report, self.world.addresses[self.node])))
+            self.world.tasks.append(asyncio.create_task(self._deliver_late(report, self.node)))
         await asyncio.sleep(4.0)
         raise NoAnswer("cut")
 
-    async def _deliver_late(self, report, address):
-        while self.cut:
+    async def _deliver_late(self, report, node):
+        while self.cut or node in self.cut_from:
             await asyncio.sleep(0.2)
-        client = Client(address)
+        client = Client(self.world.addresses[node])
         try:
             await client.call("POST", "/agent/beat", report, 4.0)
         except NoAnswer:
@@ -143,8 +147,10 @@
         super().__init__(site, folder, record)
         self.broken, self.final, self.accepted, self.cancelled, self.completed = [], {}, set(), {}, set()
         self.limits = {team["name"]: team.get("cpus_max") or float("inf") for team in self.teams}
-        self.busy, self.cloud_down = set(), False
+        self.busy, self.cloud_down, self.zone_is_cut = set(), False, False
         self.state_links, self.peer_links, self.views = {}, {}, {}
+        self.cloud_passable = asyncio.Event()
+        self.cloud_passable.set()
 
     def report_broken(self, *words):
         self.broken.append(words)
@@ -163,7 +169,14 @@
                     link = self.peer_links[node, other] = PeerLink(self.peers[other])
                     self.views[node][other] = await link.start()
 
+    def take(self, name):
+        self.cloud.machines.pop(name, None)
+        if name in self.workers:
+            self.log("cloud", name, "is taken back")
+            self.workers.pop(name).stop()
+
     async def _cloud(self, *request):
+        await self.cloud_passable.wait()
         return (503, {"error": "trouble"}) if self.cloud_down else await self.cloud_server_handle(*request)
 
     def settings(self, node):
@@ -265,6 +278,8 @@
     """Submit a job, poll it until the end, and cancel some."""
     spec = draw_job(number)
     name = spec["name_id"]
+    if spec["form"] == "batch" and RNG.random() < 0.06:
+        world.mistaken.add(name)
     if not await world.submit(spec, spec["expected_s"] * RNG.uniform(0.5, 1.5)):
         return
     world.accepted.add(name)
@@ -355,11 +370,61 @@
         link.set("open")
 
 
+async def zone_cut(world):
+    """Cut a zone with its controllers and workers off from everything else; inside, all goes on."""
+    if world.zone_is_cut:
+        return
+    zone, world.zone_is_cut = RNG.choice(world.zones[:3]), True
+    inside = {node for number, node in enumerate(world.nodes) if world.zones[number % len(world.zones)] == zone}
+    links = [link for (one, other), link in world.peer_links.items() if (one in inside) != (other in inside)]
+    links += [world.state_links[node] for node in inside if world.state_links[node].mode == "open"]
+    world.log("fault zone", zone, "is cut off with", sorted(inside))
+    for link in links:
+        link.set("hold")
+    end = time.monotonic() + RNG.choice([10, 25, 40])
+    while time.monotonic() < end:
+        for worker in world.workers.values():
+            outside = frozenset(world.nodes) - inside
+            worker.cut_from = outside if worker.machine["yard"] == zone else frozenset(inside)
+        await asyncio.sleep(0.1)
+    for worker in world.workers.values():
+        worker.cut_from = frozenset()
+    for link in links:
+        link.set("open")
+    world.zone_is_cut = False
+    world.log("fault zone", zone, "is back")
+
+
+async def node_down(world):
+    node = draw_node(world)
+    if node not in world.busy:
+        world.busy.add(node)
+        await world.kill_node(node)
+        await asyncio.sleep(40)
+        await world.start_node(node)
+        world.busy.discard(node)
+
+
+async def take_back(world):
+    """Take half of the spot machines back, most with a notice of 12 s."""
+    for worker in list(world.workers.values()):
+        if worker.machine["loaners"] and RNG.random() < 0.5:
+            notice_s = 0.0 if RNG.random() < 0.15 else 12.0 * RNG.uniform(0.5, 1.5)
+            worker.recall_at = time.monotonic() + notice_s
+            worker.changed.set()
+            asyncio.get_running_loop().call_later(notice_s, world.take, worker.name)
+
+
 async def cloud_outage(world):
-    world.log("fault cloud out")
-    world.cloud_down = True
+    """Let the cloud refuse requests, or carry them out late."""
+    held = RNG.random() < 0.5
+    world.log("fault cloud", "held" if held else "out")
+    world.cloud_down = not held
+    if held:
+        world.cloud_passable.clear()
     await asyncio.sleep(RNG.choice([5, 20]))
     world.cloud_down = False
+    world.cloud_passable.set()
 
 
 async def on_worker(world, action):
@@ -382,7 +447,19 @@
 
 
 DISRUPTIONS = [kill_one, kill_one, kill_all, stand_still, stand_still, lose_state, lose_state, state_outage, lose_peers]
-DISRUPTIONS += [cloud_outage, "dies", "restarts", "restarts", "is sick", "is cut", "is cut"]
+DISRUPTIONS += [
+    zone_cut,
+    zone_cut,
+    node_down,
+    take_back,
+    cloud_outage,
+    "dies",
+    "restarts",
+    "restarts",
+    "is sick",
+    "is cut",
+    "is cut",
+]
 
 
 async def disrupt(world):
--- a/review/standins/workers.py
+++ b/review/standins/workers.py
@@ -15,6 +15,7 @@
         self.tasks = {}  # (piece, try) -> dict
         self.done = set()
         self.sick = False  # fails every task
+        self.recall_at = None  # when the cloud takes the machine back
         self.images = set()
         self.renewed = time.monotonic()
         self.node = world.nodes[int(self.name[2:]) % len(world.nodes)]
@@ -57,7 +58,7 @@
                         task["until"] = now
                     self.world.started(self, key)
                 elif task["status"] == "running":
-                    if self.sick:
+                    if self.sick or spec["name_id"] in self.world.mistaken:
                         self._exit(key, task, "error")
                     else:
                         self.done.add(key[0])
@@ -92,7 +93,7 @@
             "shift": self.shift,
             "tally": self.tally,
             "baton": self.baton,
-            "recall_s": None,
+            "recall_s": None if self.recall_at is None else max(0.0, self.recall_at - time.monotonic()),
             "pieces": pieces,
         }
 
--- a/review/standins/world.py
+++ b/review/standins/world.py
@@ -61,6 +61,7 @@
             self.types, site["capacity"], site["cloud"]["rps"], site["cloud"]["list_lag_s"], self._up, self._gone
         )
         self.workers, self.specs, self.run_s = {}, {}, {}
+        self.mistaken = set()  # jobs that fail on every machine
         self.on = {}  # piece -> set of (machine, try)
         self.processes = {}  # node -> process
         self.healthy = {n: False for n in self.nodes}
