The loader logs a one_zone job whose stored assignments are in several zones

The log told what was released after the load, not what the first round after it went by, so a record that had been lost and records that were outdated looked alike.

Nothing else changes.

--- a/src/elmthread/persistence/loading.py
+++ b/src/elmthread/persistence/loading.py
@@ -95,6 +95,8 @@
             job.rebuild_pending_tasks()
             if job.done_count == job.task_count:
                 self._completions.record(job, 0, lambda: None)
+            elif job.spec.one_zone and len(job.tasks_by_zone) > 1:
+                _log_ambiguous_zone(job)
         log.info(
             "loaded %s jobs, %s of them open, and %s machines",
             len(self._cluster.jobs),
@@ -215,6 +217,11 @@
                     self._cluster.allocate(machine, job, task, attempt, AllocationState.UNCONFIRMED)
 
 
+def _log_ambiguous_zone(job: Job) -> None:
+    zones = ", ".join(f"{zone} ({count} tasks)" for zone, count in sorted(job.tasks_by_zone.items()))
+    log.info("job %s is limited to one zone, but its stored assignments are in several: %s", job.id, zones)
+
+
 def _placeholder_spec(job_id: str, tasks: int) -> JobSpec:
     """Return a placeholder specification for a done job, whose record no longer contains one."""
     return JobSpec(
