Nothing is preempted for a request that no machine allows

Cause: a team at its limit has its own tasks stopped for an urgent request on any machine, also where no machine may take the request.

Change: preempt returns at once where is_allowed refuses every machine that can take tasks; the reference does too.

--- a/src/elmthread/placement/tests/reference.py
+++ b/src/elmthread/placement/tests/reference.py
@@ -78,6 +78,8 @@
     `capacities` includes capacity that is already being freed. Each task is placed on the machine with the
     least loss for the capacity of one task.
     """
+    if not any(is_allowed(request, one.machine_type, one.zone, one.spot) for one in capacities.values()):
+        return []
     by_machine: dict[str, list[PreemptionCandidate]] = {}
     for candidate in candidates:
         by_machine.setdefault(candidate.machine, []).append(candidate)
--- a/src/elmthread/placement/tests/test_victims.py
+++ b/src/elmthread/placement/tests/test_victims.py
@@ -22,6 +22,18 @@
     assert [candidate.team for candidate in chosen] == ["t", "t"]
 
 
+def test_nothing_is_preempted_for_a_request_that_no_machine_allows() -> None:
+    """Guard against stopping a team's other tasks, round after round, for a job whose zone is not certain yet."""
+    capacities = {name: FreeCapacity(name, "s", name, False, cpus=4.0, gpus=0.0, memory_gb=8.0) for name in "xy"}
+    candidates = {name: [PreemptionCandidate(1, name, "t", 2.0, 0.0, 0.1)] for name in "xy"}
+    request = make_request("u", 1, 2.0, urgent=True)
+    request.one_zone = True
+    request.tasks_by_zone = {"x": 1, "y": 1}
+    assert preempt(request, capacities, candidates, RemainingQuota(0.0)) == []
+    request.tasks_by_zone = {"x": 1}
+    assert len(preempt(request, capacities, candidates, RemainingQuota(0.0))) == 1
+
+
 @deterministic
 @given(st.lists(st.tuples(st.integers(1, 3), st.integers(0, 9)), max_size=6), st.integers(0, 3), st.integers(1, 4))
 def test_preemption_frees_enough_and_no_more_than_needed(
--- a/src/elmthread/placement/victims.py
+++ b/src/elmthread/placement/victims.py
@@ -35,8 +35,10 @@
 
     If the team's quota is too small, the team's own tasks are preempted first. After that, room is made for one task
     at a time, on the machine where this loses the least. `capacities` includes capacity that is already being freed;
-    `candidates` are by machine, and chosen ones are removed.
+    `candidates` are by machine, and chosen ones are removed. Nothing is preempted for a request that no machine allows.
     """
+    if not any(is_allowed(request, one.machine_type, one.zone, one.spot) for one in capacities.values()):
+        return []
     selection = _VictimSelection(request, capacities, candidates, remaining_quota)
     selection.preempt_own_team()
     if request.count > 0 and remaining_quota.cpus + EPSILON >= request.cpus:
