An attempt is removed from a worker only when no copy of its start is valid any more

What callers saw: nothing here; on another service a late copy of a start command ran a moved task twice and a cancelled task again.

Cause: a worker ignores a start whose attempt it knows, but after 'reap' it would execute a copy. The leader sent that half a second after the task's end, while a response with its start is valid for 4 s from its heartbeat.

Change: a machine keeps when each start was last sent, and its removal waits until no response with it is valid.

--- a/src/elmthread/cluster/machine.py
+++ b/src/elmthread/cluster/machine.py
@@ -100,6 +100,8 @@
     record_bytes: int = 0
     # Attempts whose completion is not durable yet; the worker is told to remove them once it is.
     uncommitted_completions: set[int] = field(default_factory=set)
+    # When start commands were last sent, by attempt and in order of time, as far as the worker may still execute them.
+    recent_starts: dict[int, timedelta] = field(default_factory=dict)
     # Images in its cache, with their sizes in GB.
     cached_images: dict[str, float] = field(default_factory=dict)
 
--- a/src/elmthread/workers/commands.py
+++ b/src/elmthread/workers/commands.py
@@ -4,15 +4,20 @@
 response, so a start command is never executed after the worker has built its next heartbeat: if that heartbeat
 does not list the task, the task is not on the machine. A start command is repeated in each response until a
 heartbeat lists the task.
+
+A worker that has been told to remove an attempt no longer knows it and would execute a copy of its start command once
+more. So an attempt is removed only when the worker discards any response that contains its start command.
 """
 
 from datetime import timedelta
 
 from elmthread.cluster.allocation import Allocation, AllocationState, StopMode
 from elmthread.cluster.machine import Machine, MachineState
+from elmthread.common.clock import extend_for_drift
 from elmthread.leadership.context import TermContext
 from elmthread.workers import messages
 from elmthread.workers.messages import (
+    HEARTBEAT_RESPONSE_TIMEOUT,
     Command,
     Heartbeat,
     RemoveCommand,
@@ -23,6 +28,8 @@
 )
 
 MAX_COMMANDS_PER_RESPONSE = 300
+# For this long after it was sent, a response may be executed. A worker counts the timeout from its heartbeat.
+MAX_RESPONSE_AGE = extend_for_drift(HEARTBEAT_RESPONSE_TIMEOUT)
 
 
 class CommandPlanner:
@@ -58,6 +65,7 @@
                 stops.append(StopCommand(name, allocation.attempt, _grace_s(allocation)))
             elif state is AllocationState.COMMITTED and has_lease and not unwanted:
                 allocation.start_sent = True
+                _note_start(machine, allocation.attempt, now)
                 starts.append(StartCommand(name, allocation.attempt))
         return stops + starts
 
@@ -75,17 +83,33 @@
                 stops.append(StopCommand(task.name, task.attempt, 0.0))
         return stops[:MAX_COMMANDS_PER_RESPONSE]
 
+    def removals_of(self, machine: Machine, exited: list[TaskStatus]) -> list[Command]:
+        """Return commands to remove exited tasks whose completions are durable and that no late start can start."""
+        _forget_earlier_starts(machine, self._clock() - MAX_RESPONSE_AGE)
+        return [
+            RemoveCommand(task.name, task.attempt)
+            for task in exited
+            if task.attempt not in machine.uncommitted_completions and task.attempt not in machine.recent_starts
+        ]
+
     def _release_unsent(self, allocation: Allocation, now: timedelta) -> None:
         """Release an allocation whose start was not sent, which proves that its task is not on the machine."""
         self._cluster.release(allocation, now)
         self._events.notify_changed()
 
 
-def removal_commands(machine: Machine, exited: list[TaskStatus]) -> list[Command]:
-    """Return commands to remove the exited tasks, except those whose completions are not durable yet."""
-    return [
-        RemoveCommand(task.name, task.attempt) for task in exited if task.attempt not in machine.uncommitted_completions
-    ]
+def _note_start(machine: Machine, attempt: int, now: timedelta) -> None:
+    machine.recent_starts.pop(attempt, None)  # so that the latest comes last
+    machine.recent_starts[attempt] = now
+
+
+def _forget_earlier_starts(machine: Machine, before: timedelta) -> None:
+    """Forget the start commands that were sent before that time."""
+    while machine.recent_starts:
+        attempt, sent_at = next(iter(machine.recent_starts.items()))
+        if sent_at >= before:
+            break
+        del machine.recent_starts[attempt]
 
 
 def _is_unwanted(allocation: Allocation) -> bool:
--- a/src/elmthread/workers/heartbeats.py
+++ b/src/elmthread/workers/heartbeats.py
@@ -13,7 +13,7 @@
 from elmthread.net.http_messages import MalformedBodyError, Request, Response, decode_body, retry_later
 from elmthread.persistence.assignments import AssignmentRecorder
 from elmthread.workers import messages
-from elmthread.workers.commands import MAX_COMMANDS_PER_RESPONSE, CommandPlanner, removal_commands
+from elmthread.workers.commands import MAX_COMMANDS_PER_RESPONSE, CommandPlanner
 from elmthread.workers.messages import Command, Heartbeat, HeartbeatResponse, StartCommand
 from elmthread.workers.reconciliation import HeartbeatReconciler
 from elmthread.workers.responsiveness import ResponsivenessMonitor
@@ -96,7 +96,8 @@
             await self._assignments.wait_until_durable(machine, ASSIGNMENT_WAIT)
             if not self._term.may_answer_workers():
                 return self._redirect()
-        commands = [*result.stops, *removal_commands(machine, result.exited), *self._commands.commands_for(machine)]
+        removals = self._commands.removals_of(machine, result.exited)
+        commands = [*result.stops, *removals, *self._commands.commands_for(machine)]
         return self._respond(machine, commands[:MAX_COMMANDS_PER_RESPONSE])
 
     def _respond(self, machine: Machine, commands: list[Command]) -> Response:
--- a/tests/test_architecture.py
+++ b/tests/test_architecture.py
@@ -121,6 +121,21 @@
         assert imports.get(package, set()) & upper == set(), package
 
 
+def test_no_module_sends_requests_to_workers() -> None:
+    """Guard against direct commands: a worker executes them however late they arrive, and each copy of them."""
+    creations: dict[str, list[str]] = {}
+    for path, tree in syntax_trees(PACKAGE).items():
+        for node in ast.walk(tree):
+            match node:
+                case ast.Call(func=ast.Name(id="HttpClient"), args=[target, *_]) if "tests" not in path.parts:
+                    creations.setdefault(path.relative_to(PACKAGE).as_posix(), []).append(ast.unparse(target))
+    assert creations == {
+        "controller.py": ["platform.endpoints.store", "self._platform.endpoints.cloud"],
+        "rollout/command.py": ["platform.endpoints.store"],
+        "api/command.py": ["server"],
+    }
+
+
 def test_the_architecture_page_names_every_package() -> None:
     text = (ROOT / "docs" / "architecture.md").read_text()
     packages = {path.parent.name for path in PACKAGE.glob("*/__init__.py")}
--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -82,10 +82,13 @@
 }
 
 
-def play(faults: Sequence[tuple[str, float]], seed: int, controllers: int = 3) -> World:
+def play(
+    faults: Sequence[tuple[str, float]], seed: int, controllers: int = 3, repeated_response_share: float = 0.0
+) -> World:
     """Inject the faults, then remove them: every accepted job must end, and no rule may be broken."""
 
     async def script(world: World) -> None:
+        world.repeated_response_share = repeated_response_share
         scenario = Scenario(world)
         watcher = world.loop.create_task(check_continuously(world))
         await scenario.submit_initial_jobs()
--- a/tests/world/network_faults.py
+++ b/tests/world/network_faults.py
@@ -25,5 +25,9 @@
         self.duplicate_delay_s = (1.0, 40.0)
         # Collects copies of heartbeats while it is a list.
         self.captured_requests: list[Request] | None = None
+        # Share of responses to heartbeats that reach the worker again after it has executed them, and the maximum of
+        # that delay.
+        self.repeated_response_share = 0.0
+        self.max_repeat_delay_s = 6.0
         # Share of heartbeats and responses that are delayed, by up to 6 s each.
         self.delayed_share = 0.0
--- a/tests/world/workers.py
+++ b/tests/world/workers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+from collections import Counter
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from typing import Any
@@ -25,6 +26,17 @@
 
 # Sends a worker's request to a node.
 Send = Callable[[str, str, Request], Awaitable[Response]]
+# A worker gives up waiting for the response to a heartbeat after this long, and drops it from then on.
+RESPONSE_TIMEOUT_S = 4.0
+
+
+@dataclass(frozen=True)
+class AnsweredHeartbeat:
+    """A response whose commands a worker has executed, with the heartbeat that it answers."""
+
+    body: Any
+    sent_at: float
+    incarnation: int
 
 
 @dataclass(frozen=True)
@@ -37,6 +49,8 @@
     nodes: list[str]
     send: Send
     heartbeat_interval_s: float
+    # Called with a worker and each response whose commands it has executed.
+    on_executed: "Callable[[Worker, AnsweredHeartbeat], None]" = lambda worker, answered: None
 
 
 class Worker:
@@ -47,12 +61,14 @@
     ) -> None:
         """Start sending heartbeats; `lease_s` includes the drift of the worker's clock, if any."""
         self.loop, self.rng, self.rules = environment.loop, environment.rng, environment.rules
-        self.nodes, self.send = environment.nodes, environment.send
+        self.nodes, self.send, self.on_executed = environment.nodes, environment.send, environment.on_executed
         self.name, self.machine_type, self.zone, self.spot = machine.name, machine_type, machine.zone, machine.spot
         self.heartbeat_interval_s, self.lease_s = environment.heartbeat_interval_s, lease_s
         self.incarnation, self.sequence, self.fencing_token = 1, 0, 0
         self.tasks: dict[tuple[str, int], WorkerTask] = {}
         self.completed: set[str] = set()
+        # How often it has begun each attempt, by incarnation, task and attempt.
+        self.begun: Counter[tuple[int, str, int]] = Counter()
         self.images: set[str] = set()
         self.lease_renewed_at = self.loop.now
         self.alive = True
@@ -158,15 +174,17 @@
             request = Request("POST", "/agent/beat", {}, cbor2.dumps(self.heartbeat_body()))
             status, body = 0, None
             try:
-                async with asyncio.timeout(4):
+                async with asyncio.timeout(RESPONSE_TIMEOUT_S):
                     response = await self.send(self.name, self.node, request)
                     status, body = response.status, response.body
             except (TimeoutError, ConnectionError):
                 pass
             if self.hung or not self.alive:
                 continue
-            if status == 200 and self.loop.now - sent < 4:
-                self._handle_response(body, sent, incarnation)
+            if status == 200 and self.loop.now - sent < RESPONSE_TIMEOUT_S:
+                answered = AnsweredHeartbeat(body, sent, incarnation)
+                self._handle_response(answered)
+                self.on_executed(self, answered)
                 # Heartbeats are at least 0.5 s apart, and sent after about `report_s` at the latest.
                 await asyncio.sleep(0.5)
                 try:
@@ -183,7 +201,13 @@
                 self.node = self.nodes[(self.nodes.index(self.node) + 1) % len(self.nodes)]
                 await asyncio.sleep(1)
 
-    def _handle_response(self, body: Any, sent: float, incarnation: int) -> None:
+    def receive_copy(self, answered: AnsweredHeartbeat) -> None:
+        """Receive a response again, and execute its commands again unless the response is too old."""
+        if self.alive and not self.hung and self.loop.now - answered.sent_at < RESPONSE_TIMEOUT_S:
+            self._handle_response(answered)
+
+    def _handle_response(self, answered: AnsweredHeartbeat) -> None:
+        body, sent, incarnation = answered.body, answered.sent_at, answered.incarnation
         fencing_token = body.get("baton")
         if fencing_token is None or fencing_token < self.fencing_token or incarnation != self.incarnation:
             return
@@ -211,6 +235,7 @@
         self.state_changed.set()
 
     def _start(self, name: str, attempt: int) -> None:
+        self.begun[self.incarnation, name, attempt] += 1
         task = self.tasks[name, attempt] = WorkerTask(name, attempt)
         spec = self.rules.specs.get(name.rpartition("/")[0])
         live = [other for other in self.tasks.values() if other.state != "exited" and other is not task]
--- a/tests/world/world.py
+++ b/tests/world/world.py
@@ -12,7 +12,7 @@
 from tests.world.settings import TYPES
 from tests.world.simulated_cloud import SimulatedMachine
 from tests.world.specs import submission_body
-from tests.world.workers import Worker, WorkerEnvironment
+from tests.world.workers import AnsweredHeartbeat, Worker, WorkerEnvironment
 
 # Times of workers, as in the settings.
 HEARTBEAT_INTERVAL_S, LEASE_S = 3.0, 12.0
@@ -24,7 +24,7 @@
     def __init__(self, seed: int = 1, controllers: int = 3, each: int = 3, cancel: float = 30.0) -> None:
         super().__init__(seed, controllers, each, cancel)
         self._worker_environment = WorkerEnvironment(
-            self.loop, self.rng, self.rules, self.nodes, self._send, HEARTBEAT_INTERVAL_S
+            self.loop, self.rng, self.rules, self.nodes, self._send, HEARTBEAT_INTERVAL_S, self._repeat_response
         )
         self.cloud.on_running = self._start_worker
         self.cloud.on_deleted = self.on_machine_deleted
@@ -93,6 +93,11 @@
         if self.captured_requests is not None:
             self.captured_requests.append(replace(request, previous_response_at=None))
 
+    def _repeat_response(self, worker: Worker, answered: AnsweredHeartbeat) -> None:
+        if self.repeated_response_share and self.rng.random() < self.repeated_response_share:
+            delay_s = self.rng.uniform(0.0, self.max_repeat_delay_s)
+            self.loop.call_later(delay_s, worker.receive_copy, answered)
+
     async def _maybe_delay(self) -> None:
         if self.delayed_share and self.rng.random() < self.delayed_share:
             await asyncio.sleep(self.rng.uniform(0.5, 6.0))
