--- a/src/elmthread/cluster/machine.py
+++ b/src/elmthread/cluster/machine.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from elmthread.cluster.recent_starts import RecentStarts
 from elmthread.common.clock import seconds
 from elmthread.common.states import transition
 
@@ -100,8 +101,8 @@
     record_bytes: int = 0
     # Attempts whose completion is not durable yet; the worker is told to remove them once it is.
     uncommitted_completions: set[int] = field(default_factory=set)
-    # When start commands were last sent, by attempt and in order of time, as far as the worker may still execute them.
-    recent_starts: dict[int, timedelta] = field(default_factory=dict)
+    # Attempts whose start commands the worker may still execute: it is not told to remove them yet.
+    recent_starts: RecentStarts = field(default_factory=RecentStarts)
     # Images in its cache, with their sizes in GB.
     cached_images: dict[str, float] = field(default_factory=dict)
 
--- a/src/elmthread/workers/commands.py
+++ b/src/elmthread/workers/commands.py
@@ -65,7 +65,7 @@
                 stops.append(StopCommand(name, allocation.attempt, _grace_s(allocation)))
             elif state is AllocationState.COMMITTED and has_lease and not unwanted:
                 allocation.start_sent = True
-                _note_start(machine, allocation.attempt, now)
+                machine.recent_starts.record(allocation.attempt, now)
                 starts.append(StartCommand(name, allocation.attempt))
         return stops + starts
 
@@ -84,8 +84,8 @@
         return stops[:MAX_COMMANDS_PER_RESPONSE]
 
     def removals_of(self, machine: Machine, exited: list[TaskStatus]) -> list[Command]:
-        """Return commands to remove exited tasks whose completions are durable and that no late start can start."""
-        _forget_earlier_starts(machine, self._clock() - MAX_RESPONSE_AGE)
+        """Return commands to remove exited tasks whose completions are durable and whose starts are no longer valid."""
+        machine.recent_starts.forget_before(self._clock() - MAX_RESPONSE_AGE)
         return [
             RemoveCommand(task.name, task.attempt)
             for task in exited
@@ -98,20 +98,6 @@
         self._events.notify_changed()
 
 
-def _note_start(machine: Machine, attempt: int, now: timedelta) -> None:
-    machine.recent_starts.pop(attempt, None)  # so that the latest comes last
-    machine.recent_starts[attempt] = now
-
-
-def _forget_earlier_starts(machine: Machine, before: timedelta) -> None:
-    """Forget the start commands that were sent before that time."""
-    while machine.recent_starts:
-        attempt, sent_at = next(iter(machine.recent_starts.items()))
-        if sent_at >= before:
-            break
-        del machine.recent_starts[attempt]
-
-
 def _is_unwanted(allocation: Allocation) -> bool:
     machine = allocation.machine
     return (
