--- a/tests/world/rollouts.py
+++ b/tests/world/rollouts.py
@@ -184,7 +184,7 @@
         }
         if held != expected:
             self._report_violation(f"assignments are misread: {sorted(held ^ expected)[:5]}")
-        if stored_level(self._world) not in loader._supported:
+        if stored_level(self._world) not in loader._level.supported:
             self._report_violation(f"the state is loaded by a version without level {stored_level(self._world)}")
 
 
