A run on a real loop closes the connections that its clients keep open

Idle connections of HttpClient outlived the loop of an earlier test in the same process, and their garbage collection raised wherever it happened. With a collection after each test, both users of real_loop (test_cut_links, test_real_rollout) fail every time.

Change: RealLoop knows the connections that were opened from it, and real_loop closes them before the loop.

--- a/tests/test_cut_links.py
+++ b/tests/test_cut_links.py
@@ -7,9 +7,13 @@
 
 import pytest
 
+from elmthread.net.http_client import HttpClient
+from elmthread.net.http_messages import Request, Response
+from elmthread.net.http_server import HttpServer
 from tests.world.links import LinkFaults
 from tools import cut_links
 from tools.forwarder import REFUSAL, Forwarder
+from tools.loopback import CALL_TIMEOUT, real_loop
 
 HOST = "127.0.0.1"
 
@@ -54,6 +58,24 @@
     run_with_timeout(main())
 
 
+def test_real_loop_closes_the_connections_that_clients_keep_open() -> None:
+    """Guard against connections that outlive their loop: their garbage collection failed whichever test ran then."""
+
+    async def respond(request: Request) -> Response:
+        return Response(200, request.path)
+
+    async def call_once() -> HttpClient:
+        port = await HttpServer(respond, max_connections=5).start(HOST, 0)
+        client = HttpClient(f"{HOST}:{port}")
+        assert (await client.call("GET", "/ready", timeout=CALL_TIMEOUT)).body == "/ready"
+        return client
+
+    with real_loop() as loop:
+        client = loop.run_until_complete(call_once())
+        assert [connection.is_closed() for connection in client._idle] == [False]
+    assert [connection.is_closed() for connection in client._idle] == [True]
+
+
 def test_invalid_schedule_is_reported_before_anything_starts(
     tmp_path: Path, capsys: pytest.CaptureFixture[str]
 ) -> None:
--- a/tools/loopback.py
+++ b/tools/loopback.py
@@ -13,6 +13,7 @@
 from datetime import timedelta
 from typing import Any
 from urllib.parse import urlencode
+from weakref import WeakSet
 
 import cbor2
 
@@ -55,7 +56,28 @@
 
 
 class RealLoop(asyncio.SelectorEventLoop):
-    """A real-time event loop with the `now` property that the simulated services expect of a simulated loop."""
+    """A real-time event loop with the `now` property that the simulated services expect of a simulated loop.
+
+    It can close the connections that were opened from it, which clients keep open between requests.
+    """
+
+    def __init__(self) -> None:
+        """Create a loop without connections."""
+        super().__init__()
+        self._client_transports: WeakSet[asyncio.BaseTransport] = WeakSet()
+
+    async def create_connection(self, *arguments: Any, **options: Any) -> Any:
+        """Open a connection as any event loop does."""
+        transport, protocol = await super().create_connection(*arguments, **options)
+        self._client_transports.add(transport)
+        return transport, protocol
+
+    def close_client_connections(self) -> None:
+        """Close the connections that were opened from this loop; it must not be running."""
+        for transport in list(self._client_transports):
+            transport.close()
+        # A transport closes its socket in the next iteration of the loop.
+        self.run_until_complete(asyncio.sleep(0))
 
     @property
     def now(self) -> float:
@@ -65,7 +87,7 @@
 
 @contextmanager
 def real_loop() -> Iterator[RealLoop]:
-    """Create an event loop for one run; cancel its remaining tasks and close it at the end."""
+    """Create an event loop for one run; at the end, cancel its tasks, and close its connections and the loop."""
     loop = RealLoop()
     asyncio.set_event_loop(loop)
     try:
@@ -76,6 +98,7 @@
             task.cancel()
         if remaining_tasks:
             loop.run_until_complete(asyncio.wait(remaining_tasks))
+        loop.close_client_connections()
         loop.run_until_complete(loop.shutdown_asyncgens())
         loop.close()
         asyncio.set_event_loop(None)
