--- a/tests/test_zone_constraints.py
+++ b/tests/test_zone_constraints.py
@@ -1,14 +1,20 @@
 """Jobs whose tasks must all be in one zone, or spread over zones, while zones are cut off and leaders change."""
 
 import asyncio
+import random
+import sys
 from collections import Counter
+from typing import Any
 
 import pytest
 
+from tests.world.controller_faults import leader_ends
 from tests.world.day import day
-from tests.world.machine_faults import cut_off_workers
+from tests.world.machine_faults import cut_off_workers, machines_hang, machines_reborn
+from tests.world.random_faults import restore
 from tests.world.scenario import Scenario
-from tests.world.specs import job
+from tests.world.settings import ZONES
+from tests.world.specs import daemon, job
 from tests.world.world import LEASE_S, World
 
 CUT_ZONE, OTHER_ZONE = "north", "east"
@@ -63,3 +69,81 @@
 
     for seed in range(4):
         day(script, seed=seed, machines=0, each=0, before=rent_machines)
+
+
+# Random days: zones are cut off and reconnected, leaders end, machines are lost
+
+
+async def cut_off_a_zone(scenario: Scenario) -> None:
+    """Cut the machines of one zone off from all controllers, for less or more than a worker lease."""
+    zone = scenario.world.rng.choice(ZONES)
+    inside = [name for name, worker in scenario.world.workers.items() if worker.zone == zone]
+    cut_off_workers(scenario, inside, scenario.world.rng.uniform(0.5, 3.0) * LEASE_S)
+
+
+ZONE_FAULTS = (cut_off_a_zone, cut_off_a_zone, leader_ends, leader_ends, machines_hang, machines_reborn)
+
+
+def constrained_jobs(rng: random.Random) -> list[dict[str, Any]]:
+    """Return jobs and a service that are bound to one zone or spread over zones, and some that are free."""
+    jobs = []
+    for number in range(1, 11):
+        run_time_s = rng.choice([10.0, 30.0, 60.0])
+        constraint = rng.choice([{"one_zone": True}, {"one_zone": True}, {"scatter": True}, {}])
+        jobs.append(
+            job(
+                number,
+                crew=rng.choice(["red", "blue"]),
+                urgency=rng.choice(["high", "normal", "best_effort"]),
+                pieces=rng.randint(4, 20),
+                true_s=run_time_s,
+                expected_s=run_time_s,
+                **constraint,
+            )
+        )
+    return [*jobs, daemon(11, pieces=3, scatter=False, one_zone=True)]
+
+
+def play_random_day(seed: int) -> None:
+    """Play 100 s of faults, then remove them: all batch jobs must end, and no rule may be broken."""
+
+    async def script(world: World) -> None:
+        world.repeated_response_share = world.rng.choice([0.0, 0.3])
+        scenario = Scenario(world)
+        *batches, service = constrained_jobs(world.rng)
+        assert await world.submit(service)
+        began_at = world.loop.now
+        for spec in batches:
+            scenario.begin(world.submit(spec))
+            await asyncio.sleep(world.rng.uniform(0.0, 6.0))
+            await world.rng.choice(ZONE_FAULTS)(scenario)
+        while world.loop.now < began_at + 100:
+            await asyncio.sleep(world.rng.uniform(1.0, 12.0))
+            await world.rng.choice(ZONE_FAULTS)(scenario)
+        await scenario.end()
+        restore(world)
+        world.cut_worker_links.clear()
+        for worker in world.workers.values():
+            worker.hung = False
+        states = await world.wait_until_finished([spec["name_id"] for spec in batches], 500)
+        assert set(states.values()) == {"done"}, states
+
+    day(script, seed=seed, machines=8, each=1)
+
+
+@pytest.mark.parametrize("seed", range(16))
+def test_zone_rules_hold_on_random_days(seed: int) -> None:
+    play_random_day(seed)
+
+
+if __name__ == "__main__":
+    # To play more days: `python -m tests.test_zone_constraints 1000 1400`.
+    first, last = map(int, sys.argv[1:])
+    broken = 0
+    for day_seed in range(first, last):
+        try:
+            play_random_day(day_seed)
+        except AssertionError as error:
+            broken += 1
+            print(day_seed, str(error)[:300], flush=True)
+    print(f"{last - first} played, {broken} broken")
