--- a/tests/test_zone_constraints.py
+++ b/tests/test_zone_constraints.py
@@ -133,6 +133,7 @@
 
 @pytest.mark.parametrize("seed", range(16))
 def test_zone_rules_hold_on_random_days(seed: int) -> None:
+    """Guard against tasks in a wrong zone after cuts, changes of leader and lost machines in other orders."""
     play_random_day(seed)
 
 
